--- /dev/null
+++ b/crates/boxoffice/src/changes.rs
@@ -0,0 +1,103 @@
+//! Writing: each call is one atomic change against the version it names (design 2.2).
+
+use crate::Boxoffice;
+
+#[derive(Clone, Copy)]
+pub(crate) enum Kind {
+    Grouping,
+    Order,
+}
+
+pub(crate) struct Apply(pub Boxoffice);
+pub(crate) struct Put(pub Boxoffice, pub Kind);
+pub(crate) struct Drop(pub Boxoffice, pub Kind);
+
+type Answer = (u16, serde_json::Value);
+
+fn faults(status: u16, faults: Vec<playbill::check::Fault>) -> Answer {
+    (status, serde_json::json!({ "verdict": "not-run", "cause": "invalid", "faults": faults }))
+}
+
+#[salvo::handler]
+impl Apply {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let (status, answer) = match lobby::read::<playbill::Change>(request).await {
+            Ok(change) => decide(&self.0, change).await,
+            Err(fault) => faults(400, vec![fault]),
+        };
+        lobby::json(response, status, &answer);
+    }
+}
+
+#[salvo::handler]
+impl Put {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let name = request.param::<String>("name").unwrap_or_default();
+        let edit = match self.1 {
+            Kind::Grouping => lobby::read(request).await.map(|grouping| playbill::Edit::PutGrouping { name, grouping }),
+            Kind::Order => lobby::read(request).await.map(|order| playbill::Edit::PutOrder { name, order }),
+        };
+        let (status, answer) = match edit {
+            Ok(edit) => decide_one(&self.0, request, edit).await,
+            Err(fault) => faults(400, vec![fault]),
+        };
+        lobby::json(response, status, &answer);
+    }
+}
+
+#[salvo::handler]
+impl Drop {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let name = request.param::<String>("name").unwrap_or_default();
+        let edit = match self.1 {
+            Kind::Grouping => playbill::Edit::DropGrouping { name },
+            Kind::Order => playbill::Edit::DropOrder { name },
+        };
+        let (status, answer) = decide_one(&self.0, request, edit).await;
+        lobby::json(response, status, &answer);
+    }
+}
+
+async fn decide_one(office: &Boxoffice, request: &salvo::Request, edit: playbill::Edit) -> Answer {
+    let fault = |path: &str, fault: &str| faults(428, vec![playbill::check::Fault { path: path.into(), fault: fault.into() }]);
+    let Some(base) = lobby::header(request, "if-match").and_then(|text| text.trim_matches('"').parse().ok()) else {
+        return fault("If-Match", "names the version this change was made from, as GET /v1/desired gave it in ETag");
+    };
+    let Some(id) = lobby::header(request, "x-change-id") else {
+        return fault("X-Change-Id", "names the change, so that sending it again is harmless");
+    };
+    decide(office, playbill::Change { id, base, edits: vec![edit] }).await
+}
+
+async fn decide(office: &Boxoffice, change: playbill::Change) -> Answer {
+    let id_fault = (change.id.is_empty() || change.id.len() > 128).then(|| playbill::check::Fault { path: "id".into(), fault: "is 1 to 128 bytes".into() });
+    let found: Vec<_> = id_fault.into_iter().chain(playbill::check::alone(&change.edits)).collect();
+    if !found.is_empty() {
+        return faults(422, found);
+    }
+    let state = office.core.state.load();
+    // Not handed to the log at all: certain not to take effect.
+    if !state.started || state.in_touch <= office.core.seats() as usize / 2 {
+        return (503, serde_json::json!({ "verdict": "not-run", "cause": "no_majority", "detail": "this core seat is not in touch with a majority" }));
+    }
+    match office.core.change(change).await {
+        Some(outcome) => tell(outcome),
+        None => {
+            let detail = "no majority answered in time; the change may yet take effect, send it again with the same id to learn";
+            (503, serde_json::json!({ "verdict": "may-have-run", "cause": "no_answer", "detail": detail }))
+        }
+    }
+}
+
+fn tell(outcome: playbill::Outcome) -> Answer {
+    match outcome {
+        playbill::Outcome::Accepted { position, version } => (200, serde_json::json!({ "accepted": { "position": position, "version": version } })),
+        playbill::Outcome::Unchanged { position } => (200, serde_json::json!({ "unchanged": { "position": position } })),
+        playbill::Outcome::Stale { version } => (412, serde_json::json!({ "verdict": "not-run", "cause": "stale", "version": version })),
+        playbill::Outcome::Invalid { faults: found } => faults(422, found),
+        playbill::Outcome::Reused { version } => {
+            (409, serde_json::json!({ "verdict": "not-run", "cause": "id_reused", "version": version, "detail": "another change had this id" }))
+        }
+        playbill::Outcome::Refused { reason } => (409, serde_json::json!({ "verdict": "not-run", "cause": "refused", "detail": reason })),
+    }
+}
--- /dev/null
+++ b/crates/callboard/src/commands.rs
@@ -0,0 +1,116 @@
+//! Each command, from its words to its exit code.
+
+pub const DONE: i32 = 0;
+pub const REFUSED: i32 = 1;
+pub const USAGE: i32 = 2;
+pub const UNREACHABLE: i32 = 3;
+pub const UNKNOWN: i32 = 4;
+
+pub enum Command {
+    Get(String),
+    Change { id: Option<String>, base: Option<u64>, body: serde_json::Value },
+    Compare(String, String),
+}
+
+type Kind = &'static str;
+
+pub fn read(mut arguments: pico_args::Arguments) -> Result<(Option<crate::ask::Office>, Command), String> {
+    let cores: Option<String> = arguments.opt_value_from_str("--core").map_err(|error| error.to_string())?;
+    let id: Option<String> = arguments.opt_value_from_str("--id").map_err(|error| error.to_string())?;
+    let base: Option<u64> = arguments.opt_value_from_str("--base").map_err(|error| error.to_string())?;
+    let word: String = arguments.subcommand().map_err(|error| error.to_string())?.ok_or("a command is missing")?;
+    let rest: Vec<String> = arguments.finish().into_iter().map(|part| part.to_string_lossy().into_owned()).collect();
+    if let Some(flag) = rest.iter().find(|part| part.starts_with("--")) {
+        return Err(format!("{flag} is not a flag of callboard"));
+    }
+    let rest: Vec<&str> = rest.iter().map(String::as_str).collect();
+    let command = match (word.as_str(), rest.as_slice()) {
+        ("get", []) => Command::Get("/v1/desired".into()),
+        ("get", [kind, name]) => Command::Get(format!("/v1/{}s/{}", kind_of(kind)?, named(name)?)),
+        ("standing", []) => Command::Get("/v1/standing".into()),
+        ("status", []) => Command::Get("/v1/status".into()),
+        ("compare", [one, two]) => Command::Compare(one.to_string(), two.to_string()),
+        ("apply", [file]) => Command::Change { id, base, body: json(file)? },
+        ("edit", [kind, name, file]) => {
+            let kind = kind_of(kind)?;
+            let edit = serde_json::json!({ format!("put_{kind}"): { "name": named(name)?, kind: json(file)? } });
+            Command::Change { id, base, body: serde_json::json!({ "edits": [edit] }) }
+        }
+        ("delete", [kind, name]) => {
+            let edit = serde_json::json!({ format!("drop_{}", kind_of(kind)?): { "name": named(name)? } });
+            Command::Change { id, base, body: serde_json::json!({ "edits": [edit] }) }
+        }
+        ("get" | "standing" | "status" | "compare" | "apply" | "edit" | "delete", _) => return Err(format!("{word} is given other words than it takes")),
+        _ => return Err(format!("there is no command {word:?}")),
+    };
+    let cores: Vec<String> = cores.unwrap_or_default().split(',').filter(|core| !core.is_empty()).map(str::to_string).collect();
+    if cores.is_empty() && !matches!(command, Command::Compare(..)) {
+        return Err("--core names at least one operators' address".into());
+    }
+    Ok((Some(crate::ask::Office::new(cores)?), command))
+}
+
+fn kind_of(word: &str) -> Result<Kind, String> {
+    match word {
+        "grouping" => Ok("grouping"),
+        "order" => Ok("order"),
+        _ => Err(format!("{word:?} is neither grouping nor order")),
+    }
+}
+
+fn named(name: &str) -> Result<&str, String> {
+    playbill::check::is_name(name).then_some(name).ok_or_else(|| format!("{name:?} is not 1 to 63 of a-z, 0-9 and '-'"))
+}
+
+fn json(file: &str) -> Result<serde_json::Value, String> {
+    let text = match file {
+        "-" => std::io::read_to_string(std::io::stdin()),
+        file => std::fs::read_to_string(file),
+    };
+    let text = text.map_err(|error| format!("{file}: {error}"))?;
+    serde_json::from_str(&text).map_err(|error| format!("{file}: {error}"))
+}
+
+pub async fn run(office: Option<crate::ask::Office>, command: Command) -> i32 {
+    let Some(office) = office else { return USAGE };
+    match command {
+        Command::Get(path) => tell(office.get(&path).await),
+        Command::Change { id, base, body } => change(&office, id, base, body).await,
+        Command::Compare(one, two) => crate::compare::run(&one, &two).await,
+    }
+}
+
+async fn change(office: &crate::ask::Office, id: Option<String>, base: Option<u64>, mut body: serde_json::Value) -> i32 {
+    let Some(change) = body.as_object_mut() else {
+        eprintln!("callboard: a change is a JSON object with \"edits\"");
+        return USAGE;
+    };
+    if let Some(id) = id.map(serde_json::Value::from).or_else(|| (!change.contains_key("id")).then(|| format!("callboard-{}", playbill::clock::wall()).into()))
+    {
+        change.insert("id".into(), id);
+    }
+    let given = base.map(serde_json::Value::from).or_else(|| change.get("base").cloned());
+    let base = match given {
+        Some(base) => base,
+        None => match office.get("/v1/desired").await {
+            Some((200, state)) => state["version"].clone(),
+            answer => return tell(answer),
+        },
+    };
+    change.insert("base".into(), base);
+    tell(office.post("/v1/changes", &body).await)
+}
+
+fn tell(answer: Option<crate::ask::Answer>) -> i32 {
+    let Some((status, answer)) = answer else {
+        eprintln!("callboard: no core seat answered");
+        return UNREACHABLE;
+    };
+    println!("{}", serde_json::to_string_pretty(&answer).unwrap_or_default());
+    match status {
+        200..300 => DONE,
+        503 if answer["verdict"] == "may-have-run" => UNKNOWN,
+        500.. => UNREACHABLE,
+        _ => REFUSED,
+    }
+}
--- /dev/null
+++ b/crates/foyer/src/lib.rs
@@ -0,0 +1,97 @@
+//! Senders: one function a request, read from top to bottom (design 5.2).
+
+use playbill::{Cause, Trouble};
+
+/// Headers that speak of one conn, or that only we may set.
+fn is_ours(name: &str) -> bool {
+    const HOP: [&str; 10] = ["connection", "host", "content-length", "transfer-encoding", "keep-alive", "te", "trailer", "upgrade", "authorization", "expect"];
+    HOP.contains(&name) || name.starts_with("x-gradeford-") || name.starts_with("proxy-")
+}
+
+struct Call {
+    near: stage::Near,
+    house: stage::HouseDesk,
+}
+
+pub fn router(near: stage::Near, house: stage::HouseDesk) -> salvo::Router {
+    salvo::Router::with_path("call/{service}/{**rest}").goal(Call { near, house })
+}
+
+#[salvo::handler]
+impl Call {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let try_id = lobby::header(request, "x-gradeford-try");
+        match self.call(request, try_id.clone()).await {
+            Ok(reply) => {
+                response.status_code(salvo::http::StatusCode::from_u16(reply.status).unwrap_or(salvo::http::StatusCode::BAD_GATEWAY));
+                let sealed = [("x-gradeford-seal", reply.seal), ("x-gradeford-try", try_id.unwrap_or_default())];
+                let headers = reply.headers.into_iter().chain(sealed.map(|(name, value)| (name.to_string(), value.into_bytes())));
+                headers
+                    .filter_map(|(name, value)| {
+                        let name = salvo::http::HeaderName::from_bytes(name.as_bytes()).ok()?;
+                        Some((name, salvo::http::HeaderValue::from_bytes(&value).ok()?))
+                    })
+                    .for_each(|(name, value)| drop(response.headers_mut().insert(name, value)));
+                response.write_body(reply.body).unwrap_or_default();
+            }
+            Err(trouble) => lobby::trouble(response, try_id.as_deref(), &trouble),
+        }
+    }
+}
+
+impl Call {
+    async fn call(&self, request: &mut salvo::Request, try_id: Option<String>) -> Result<wings::Reply, Trouble> {
+        let secret = lobby::bearer(request).unwrap_or_default();
+        let sender = self.house.sender(&secret).ok_or_else(|| Trouble::new(Cause::UnknownSender, "no live registration has this secret"))?;
+        let try_id = try_id
+            .filter(|try_id| !try_id.is_empty() && try_id.len() <= 128)
+            .ok_or_else(|| Trouble::new(Cause::BadRequest, "the header x-gradeford-try names the try in 1 to 128 letters"))?;
+        let wait = lobby::header(request, "x-gradeford-wait")
+            .map(|text| text.parse::<playbill::Micros>().map_err(|_| Trouble::new(Cause::BadRequest, "x-gradeford-wait is whole microseconds")))
+            .transpose()?;
+        let key = lobby::header(request, "x-gradeford-key").filter(|key| !key.is_empty() && key.len() <= 256);
+        let service = request.param::<String>("service").unwrap_or_default();
+        let path = plain_path(request.uri().path(), &service)?;
+        let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
+        let headers =
+            request.headers().iter().filter(|(name, _)| !is_ours(name.as_str())).map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect();
+        let method = request.method().as_str().to_string();
+        let body =
+            lobby::body(request).await.ok_or_else(|| Trouble::new(Cause::TooLarge, format!("the body is over {} bytes or broke off", lobby::BODY_LIMIT)))?;
+        let ask = stage::Ask { try_id, service, method, path, query, headers, body, key, wait };
+        // On its own task: a sender that hangs up does not tear a request that was passed on.
+        let near = self.near.clone();
+        let run = tokio::spawn(async move { near.call(sender, ask).await });
+        run.await.unwrap_or_else(|_| Err(Trouble::new(Cause::MateLost, "the request's task broke")))
+    }
+}
+
+/// What an order's path is compared with must be what the back end sees: no dots, no hidden slashes.
+fn plain_path(path: &str, service: &str) -> Result<String, Trouble> {
+    let rest = path.strip_prefix("/call/").and_then(|rest| rest.strip_prefix(service)).unwrap_or_default();
+    let lower = rest.to_ascii_lowercase();
+    let tricky = ["//", "%2e", "%2f", "%5c", "\\", "%00"].iter().any(|part| lower.contains(part));
+    let dots = rest.split('/').any(|part| part == "." || part == "..");
+    if !rest.starts_with('/') || tricky || dots {
+        return Err(Trouble::new(Cause::BadRequest, "the path holds dots, doubled or encoded slashes"));
+    }
+    Ok(rest.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_path_that_could_mean_two_things_is_refused() {
+        let path = |text: &str| super::plain_path(text, "seat").ok();
+        assert_eq!(path("/call/seat/checkout/4").as_deref(), Some("/checkout/4"));
+        ["/call/seat", "/call/seat/a/../b", "/call/seat/a//b", "/call/seat/%2E%2e/b", "/call/seat/a%2Fb", "/call/seatx/a"]
+            .iter()
+            .for_each(|text| assert_eq!(path(text), None, "{text}"));
+    }
+
+    #[test]
+    fn a_sender_cannot_speak_in_our_name() {
+        assert!(super::is_ours("x-gradeford-sender") && super::is_ours("authorization") && super::is_ours("host"));
+        assert!(!super::is_ours("content-type") && !super::is_ours("x-app-note"));
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/acquaint.rs
@@ -0,0 +1,49 @@
+//! How processes learn where the core seats are: greetings carry what each knows (design 4.3).
+
+/// Seat to its latest known place. A watch channel is the table; its lock is a leaf (design 8.1).
+pub type Known = std::sync::Arc<tokio::sync::watch::Sender<std::collections::BTreeMap<u16, wings::CoreSeat>>>;
+
+pub fn nobody() -> Known {
+    std::sync::Arc::new(tokio::sync::watch::Sender::new(Default::default()))
+}
+
+pub fn list(known: &Known) -> Vec<wings::CoreSeat> {
+    known.borrow().values().cloned().collect()
+}
+
+/// The later start wins: an address that moved is learned, an old one never comes back.
+pub fn merge(known: &Known, told: Vec<wings::CoreSeat>) {
+    known.send_if_modified(|table| {
+        told.into_iter()
+            .filter(|seat| {
+                let newer = table.get(&seat.seat).is_none_or(|held| held.started < seat.started);
+                if newer {
+                    table.insert(seat.seat, seat.clone());
+                }
+                newer
+            })
+            .count()
+            > 0
+    });
+}
+
+/// Asks seeds and known seats in turn; quick until the core is complete, then now and then.
+pub async fn run(known: Known, seeds: Vec<String>, greeting: impl Fn() -> wings::Greeting + Send + 'static, seats: impl Fn() -> usize + Send) {
+    let mut turn = 0usize;
+    loop {
+        let told: Vec<String> = list(&known).into_iter().map(|seat| seat.address).collect();
+        let places: Vec<String> = seeds.iter().chain(told.iter().filter(|address| !seeds.contains(address))).cloned().collect();
+        let complete = known.borrow().len() >= seats();
+        // All seeds while the core is not yet known, one place a round after that.
+        let asked = if complete { places.iter().cycle().skip(turn % places.len().max(1)).take(1).cloned().collect() } else { places };
+        turn += 1;
+        for address in asked {
+            let own = wings::Greeting { purpose: wings::Purpose::Acquaint, known: list(&known), ..greeting() };
+            if let Ok(conn) = wings::dial(&address, own).await {
+                merge(&known, conn.greeting.known);
+            }
+        }
+        let pause = if complete { 5_000 } else { 200 };
+        tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/core.rs
@@ -0,0 +1,152 @@
+//! A core seat as the rest of the process sees it (design 4).
+
+pub struct CoreEnv {
+    pub name: String,
+    pub zone: String,
+    pub seat: u16,
+    pub seats: u16,
+    /// Where mates reach this process.
+    pub address: String,
+    pub seeds: Vec<String>,
+    pub folder: std::path::PathBuf,
+    pub tuning: repertory::Tuning,
+    pub snapshot_every: u64,
+}
+
+/// What `/ready` and status pages say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CoreState {
+    pub started: bool,
+    pub identity: u64,
+    pub met: usize,
+    pub in_touch: usize,
+    pub applied: u64,
+    pub floor: u64,
+    pub suspects: Vec<u16>,
+    pub syncs: u64,
+    pub frames: u64,
+    pub disk: Option<String>,
+    pub refused: Option<String>,
+}
+
+pub(crate) type Answer = tokio::sync::oneshot::Sender<playbill::Outcome>;
+
+pub(crate) enum Command {
+    Submit(playbill::Entry, Answer),
+    Read(tokio::sync::oneshot::Sender<playbill::Position>),
+    Opened(u16, u64, wings::Sender),
+    Frame(u16, u64, repertory::Frame),
+    Closed(u16, u64),
+    Synced(u64),
+    Disk(Option<String>),
+    Pinned(u16, u64),
+    Refused(String),
+    Tick,
+}
+
+#[derive(Clone)]
+pub struct Core {
+    pub(crate) commands: tokio::sync::mpsc::Sender<Command>,
+    pub(crate) jobs: std::sync::mpsc::Sender<vault::Job>,
+    pub book: std::sync::Arc<arc_swap::ArcSwap<playbill::Book>>,
+    pub changed: tokio::sync::watch::Receiver<playbill::Position>,
+    pub state: std::sync::Arc<arc_swap::ArcSwap<CoreState>>,
+    pub known: crate::Known,
+    pub(crate) env: std::sync::Arc<CoreEnv>,
+    pub(crate) identity: u64,
+    pub(crate) life: u64,
+    pub(crate) sequence: std::sync::Arc<std::sync::atomic::AtomicU64>,
+    pub(crate) logger: slog::Logger,
+}
+
+const BUFFER: usize = 4_096;
+/// A majority that has not answered by then is not there: the truth about a change is then unknown.
+pub const PATIENCE: std::time::Duration = std::time::Duration::from_millis(4_000);
+
+impl Core {
+    pub fn start(env: CoreEnv, logger: slog::Logger) -> Result<Core, vault::Trouble> {
+        let (shelf, writes) = vault::Shelf::open(&env.folder)?;
+        let (commands, buffer) = tokio::sync::mpsc::channel(BUFFER);
+        let (jobs, work) = std::sync::mpsc::channel();
+        let (moved, changed) = tokio::sync::watch::channel(0);
+        let (identity, pins) = (shelf.identity, shelf.pins.clone());
+        let core = Core {
+            commands: commands.clone(),
+            jobs,
+            book: Default::default(),
+            changed,
+            state: Default::default(),
+            known: crate::acquaint::nobody(),
+            identity,
+            life: playbill::clock::wall(),
+            sequence: Default::default(),
+            logger,
+            env: std::sync::Arc::new(env),
+        };
+        let (synced, disk) = (commands.clone(), commands.clone());
+        vault::keep(
+            shelf,
+            work,
+            move |ticket| drop(synced.blocking_send(Command::Synced(ticket))),
+            move |trouble| drop(disk.blocking_send(Command::Disk(trouble))),
+        )?;
+        crate::acquaint::merge(&core.known, vec![core.own_seat()]);
+        slog::info!(core.logger, "core seat starts"; "seat" => core.env.seat, "identity" => identity, "writes" => writes.len(), "met" => pins.len());
+        tokio::spawn(crate::core_owner::Owner::new(&core, writes, pins, moved).run(buffer));
+        tokio::spawn(tick(commands));
+        crate::core_link::start(&core);
+        Ok(core)
+    }
+
+    pub(crate) fn own_seat(&self) -> wings::CoreSeat {
+        wings::CoreSeat { seat: self.env.seat, identity: self.identity, address: self.env.address.clone(), started: self.life }
+    }
+
+    pub fn seats(&self) -> u16 {
+        self.env.seats
+    }
+
+    pub fn greeting(&self, purpose: wings::Purpose) -> wings::Greeting {
+        wings::Greeting {
+            purpose,
+            name: self.env.name.clone(),
+            zone: self.env.zone.clone(),
+            address: self.env.address.clone(),
+            incarnation: self.life,
+            core: Some((self.env.seat, self.env.seats, self.identity)),
+            known: crate::acquaint::list(&self.known),
+        }
+    }
+
+    /// Puts an entry in the log. `None`: not known to be there in time; it may yet take effect.
+    pub async fn submit(&self, entry: playbill::Entry) -> Option<playbill::Outcome> {
+        let (answer, outcome) = tokio::sync::oneshot::channel();
+        self.commands.send(Command::Submit(entry, answer)).await.ok()?;
+        tokio::time::timeout(PATIENCE, outcome).await.ok()?.ok()
+    }
+
+    /// An operator's change under this seat's own origin; the book tells repeats by change id.
+    pub async fn change(&self, change: playbill::Change) -> Option<playbill::Outcome> {
+        let sequence = self.sequence.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let act = playbill::Act::Change(change);
+        self.submit(playbill::Entry { origin: self.env.name.clone(), life: self.life, sequence, act }).await
+    }
+
+    /// Everything accepted before this call is in `book` once it answers (design 3.9).
+    pub async fn read(&self) -> Option<playbill::Position> {
+        let (answer, position) = tokio::sync::oneshot::channel();
+        self.commands.send(Command::Read(answer)).await.ok()?;
+        tokio::time::timeout(PATIENCE, position).await.ok()?.ok()
+    }
+}
+
+async fn tick(commands: tokio::sync::mpsc::Sender<Command>) {
+    let mut every = tokio::time::interval(std::time::Duration::from_millis(10));
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        if commands.send(Command::Tick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/core_link.rs
@@ -0,0 +1,71 @@
+//! Channels between core seats: the lower seat dials, both bind the other's disk (design 4.1, 4.2).
+
+use crate::core::{Command, Core};
+
+static TOKENS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1);
+
+pub(crate) fn start(core: &Core) {
+    (core.env.seat + 1..core.env.seats).for_each(|seat| {
+        tokio::spawn(keep_dialing(core.clone(), seat));
+    });
+    let (greeter, seats) = (core.clone(), core.env.seats as usize);
+    let greeting = move || greeter.greeting(wings::Purpose::Acquaint);
+    tokio::spawn(crate::acquaint::run(core.known.clone(), core.env.seeds.clone(), greeting, move || seats));
+}
+
+async fn keep_dialing(core: Core, seat: u16) {
+    loop {
+        let place = core.known.borrow().get(&seat).cloned();
+        if let Some(place) = place {
+            match wings::dial(&place.address, core.greeting(wings::Purpose::Core)).await {
+                Ok(conn) if conn.greeting.core.map(|(told, seats, _)| (told, seats)) == Some((seat, core.env.seats)) => {
+                    if bind(&core, &conn.greeting).await.is_ok() {
+                        attend(&core, conn).await;
+                    }
+                }
+                Ok(conn) => slog::warn!(core.logger, "not the seat expected"; "address" => place.address, "found" => ?conn.greeting.core),
+                Err(wings::Trouble::Refused(reason)) => drop(core.commands.send(Command::Refused(reason)).await),
+                Err(trouble) => slog::debug!(core.logger, "dial"; "seat" => seat, "trouble" => %trouble),
+            }
+        }
+        let pause = 100 + rand::random::<u64>() % 100;
+        tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
+    }
+}
+
+/// The first disk met in a seat is written down before anything is said to it.
+pub(crate) async fn bind(core: &Core, greeting: &wings::Greeting) -> Result<(), String> {
+    let (seat, seats, identity) = greeting.core.ok_or("only core seats may open this channel")?;
+    if seats != core.env.seats || seat >= seats || seat == core.env.seat {
+        return Err(format!("seat {seat} of {seats} does not fit seat {} of {}", core.env.seat, core.env.seats));
+    }
+    let (done, pinned) = tokio::sync::oneshot::channel();
+    let job = vault::Job::Pin { seat, identity, done: Box::new(move |held| done.send(held).unwrap_or_default()) };
+    core.jobs.send(job).map_err(|_| "the disk's owner is gone".to_string())?;
+    let held = pinned.await.ok().flatten().ok_or("the disk cannot keep who holds the seat")?;
+    if held != identity {
+        return Err(format!("seat {seat} belongs to another disk; an emptied disk may not vote as its old self"));
+    }
+    core.commands.send(Command::Pinned(seat, identity)).await.map_err(|_| "stopping".to_string())
+}
+
+/// Carries one channel until it breaks.
+pub(crate) async fn attend(core: &Core, mut conn: wings::Conn) {
+    let Some((seat, _, _)) = conn.greeting.core else { return };
+    let token = TOKENS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    crate::acquaint::merge(&core.known, conn.greeting.known);
+    if core.commands.send(Command::Opened(seat, token, conn.sender.clone())).await.is_err() {
+        return;
+    }
+    drop(conn.sender);
+    // Mates beat far more often than this: silence so long is a dead channel.
+    let patience = std::time::Duration::from_secs(3);
+    while let Ok(Some(frame)) = tokio::time::timeout(patience, conn.receiver.recv()).await {
+        if let wings::Frame::Core(frame) = frame
+            && core.commands.send(Command::Frame(seat, token, frame)).await.is_err()
+        {
+            return;
+        }
+    }
+    drop(core.commands.send(Command::Closed(seat, token)).await);
+}
--- /dev/null
+++ b/crates/gallery/src/core_owner.rs
@@ -0,0 +1,211 @@
+//! The one owner of log and book: a command queue in, effects out (design 3.2, 8.1).
+
+use crate::core::{Answer, Command, Core, CoreState};
+
+type Waiting = std::collections::HashMap<(String, u64, u64), Vec<Answer>>;
+
+pub(crate) struct Owner {
+    core: Core,
+    machine: Option<repertory::Repertory>,
+    writes: Vec<repertory::Write>,
+    pins: vault::Pins,
+    /// What came before all seats had met (design 4.1).
+    held: Vec<Command>,
+    conns: std::collections::BTreeMap<u16, (u64, wings::Sender)>,
+    book: playbill::Book,
+    moved: tokio::sync::watch::Sender<playbill::Position>,
+    waiting: Waiting,
+    reads: std::collections::BTreeMap<u64, tokio::sync::oneshot::Sender<playbill::Position>>,
+    read_tokens: u64,
+    since_snapshot: u64,
+    state: CoreState,
+}
+
+impl Owner {
+    pub fn new(core: &Core, writes: Vec<repertory::Write>, pins: vault::Pins, moved: tokio::sync::watch::Sender<playbill::Position>) -> Self {
+        let state = CoreState { identity: core.identity, met: pins.len(), ..Default::default() };
+        core.state.store(std::sync::Arc::new(state.clone()));
+        Owner {
+            core: core.clone(),
+            machine: None,
+            writes,
+            pins,
+            held: Vec::new(),
+            conns: Default::default(),
+            book: playbill::Book::default(),
+            moved,
+            waiting: Default::default(),
+            reads: Default::default(),
+            read_tokens: 0,
+            since_snapshot: 0,
+            state,
+        }
+    }
+
+    pub async fn run(mut self, mut buffer: tokio::sync::mpsc::Receiver<Command>) {
+        self.start_when_met();
+        while let Some(first) = buffer.recv().await {
+            self.take(first);
+            // What has gathered shares one sync.
+            std::iter::from_fn(|| buffer.try_recv().ok()).take(512).for_each(|command| self.take(command));
+            self.carry_out();
+            self.publish();
+        }
+    }
+
+    /// No vote before every seat has met every other: an emptied disk then finds itself refused.
+    fn start_when_met(&mut self) {
+        if self.machine.is_some() || self.pins.len() + 1 < self.core.env.seats as usize {
+            return;
+        }
+        let env = self.core.env.clone();
+        let writes = std::mem::take(&mut self.writes);
+        let now = playbill::now();
+        self.machine = Some(repertory::Repertory::restore(env.seat, env.seats, self.core.identity, env.tuning, now, writes));
+        slog::info!(self.core.logger, "all seats have met, voting begins");
+        let held = std::mem::take(&mut self.held);
+        held.into_iter().for_each(|command| self.take(command));
+        self.carry_out();
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = playbill::now();
+        match command {
+            Command::Pinned(seat, identity) => {
+                self.pins.insert(seat, identity);
+                self.state.met = self.pins.len();
+                self.start_when_met();
+            }
+            Command::Refused(reason) => {
+                if self.state.refused.as_ref() != Some(&reason) {
+                    slog::error!(self.core.logger, "a mate refuses this disk"; "reason" => &reason);
+                }
+                self.state.refused = Some(reason);
+            }
+            Command::Disk(trouble) => {
+                slog::warn!(self.core.logger, "disk"; "trouble" => trouble.as_deref().unwrap_or("over"));
+                self.state.disk = trouble;
+            }
+            Command::Tick if self.machine.is_none() => {}
+            command if self.machine.is_none() => self.held.push(command),
+            Command::Opened(seat, token, sender) => {
+                self.state.refused = None;
+                if self.conns.insert(seat, (token, sender)).is_some() {
+                    self.step(now, repertory::Input::Closed(seat));
+                }
+                self.step(now, repertory::Input::Opened(seat));
+            }
+            Command::Frame(seat, token, frame) => {
+                if self.conns.get(&seat).is_some_and(|(current, _)| *current == token) {
+                    self.step(now, repertory::Input::Frame(seat, frame));
+                }
+            }
+            Command::Closed(seat, token) => {
+                if self.conns.get(&seat).is_some_and(|(current, _)| *current == token) {
+                    self.conns.remove(&seat);
+                    self.step(now, repertory::Input::Closed(seat));
+                }
+            }
+            Command::Synced(ticket) => {
+                self.state.syncs += 1;
+                self.step(now, repertory::Input::Synced(ticket));
+            }
+            Command::Submit(entry, answer) => {
+                let value = playbill::entry::to_bytes(&entry);
+                self.waiting.entry((entry.origin, entry.life, entry.sequence)).or_default().push(answer);
+                self.step(now, repertory::Input::Submit(value));
+            }
+            Command::Read(answer) => {
+                self.read_tokens += 1;
+                self.reads.insert(self.read_tokens, answer);
+                self.step(now, repertory::Input::Read(self.read_tokens));
+            }
+            Command::Tick => self.step(now, repertory::Input::Tick),
+        }
+    }
+
+    fn step(&mut self, now: playbill::Micros, input: repertory::Input) {
+        if let Some(machine) = self.machine.as_mut() {
+            machine.step(now, input);
+        }
+    }
+
+    fn carry_out(&mut self) {
+        let before = self.book.position;
+        loop {
+            let effects = self.machine.as_mut().map(repertory::Repertory::drain).unwrap_or_default();
+            if effects.is_empty() {
+                break;
+            }
+            effects.into_iter().for_each(|effect| self.carry_out_one(effect));
+        }
+        if self.book.position != before {
+            self.core.book.store(std::sync::Arc::new(self.book.clone()));
+            self.moved.send_replace(self.book.position);
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: repertory::Effect) {
+        match effect {
+            repertory::Effect::Send(seat, frame) => {
+                self.state.frames += 1;
+                let sent = self.conns.get(&seat).map(|(_, sender)| sender.try_send(wings::Frame::Core(frame)).is_ok());
+                if sent == Some(false) {
+                    // A mate that does not keep up loses the channel; the next one begins with a resync.
+                    self.conns.remove(&seat);
+                    self.step(playbill::now(), repertory::Input::Closed(seat));
+                }
+            }
+            repertory::Effect::Persist { ticket, writes, afresh } => {
+                drop(self.core.jobs.send(vault::Job::Append { ticket, writes, afresh }));
+            }
+            repertory::Effect::Apply(instance, value) => self.apply(instance, &value),
+            repertory::Effect::Install { state, through } => {
+                match playbill::Book::from_bytes(&state) {
+                    Some(book) => self.book = book,
+                    None => slog::error!(self.core.logger, "a snapshot does not hold together"; "through" => through),
+                }
+                self.core.book.store(std::sync::Arc::new(self.book.clone()));
+            }
+            repertory::Effect::ReadReady(token) => {
+                // The reader finds the book at least as new as what it is told.
+                self.core.book.store(std::sync::Arc::new(self.book.clone()));
+                if let Some(answer) = self.reads.remove(&token) {
+                    answer.send(self.book.position).map(|()| 0).unwrap_or_default();
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, instance: u64, value: &[u8]) {
+        let Some(entry) = playbill::entry::from_bytes(value) else {
+            return slog::error!(self.core.logger, "an entry does not hold together"; "instance" => instance);
+        };
+        let asked = (entry.origin.clone(), entry.life, entry.sequence);
+        let outcome = self.book.apply(entry);
+        slog::debug!(self.core.logger, "applied"; "instance" => instance, "position" => self.book.position, "origin" => &asked.0, "outcome" => ?outcome);
+        self.waiting.remove(&asked).into_iter().flatten().for_each(|answer| drop(answer.send(outcome.clone())));
+        self.since_snapshot += 1;
+        if self.since_snapshot >= self.core.env.snapshot_every {
+            self.since_snapshot = 0;
+            let state = self.book.to_bytes();
+            self.step(playbill::now(), repertory::Input::Snapshot { through: instance + 1, state });
+        }
+    }
+
+    fn publish(&mut self) {
+        if let Some(machine) = self.machine.as_ref() {
+            self.state.started = true;
+            self.state.in_touch = machine.in_touch();
+            self.state.applied = machine.applied();
+            self.state.floor = machine.floor();
+            self.state.suspects = machine.suspects();
+        }
+        // Askers that gave up are let go.
+        self.reads.retain(|_, answer| !answer.is_closed());
+        self.waiting.retain(|_, answers| answers.iter().any(|answer| !answer.is_closed()));
+        if **self.core.state.load() != self.state {
+            self.core.state.store(std::sync::Arc::new(self.state.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/news.rs
@@ -0,0 +1,92 @@
+//! What a core seat says to subscribers: slices, proofs, answers to forwarded entries (design 5.2, 6.2).
+
+/// Serves everyone who calls this core seat.
+pub async fn listen(core: crate::Core, listener: tokio::net::TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(welcome(core.clone(), stream));
+        }
+    }
+}
+
+async fn welcome(core: crate::Core, stream: tokio::net::TcpStream) {
+    let judge = core.clone();
+    let accepted = wings::accept(stream, |greeting| async move {
+        crate::acquaint::merge(&judge.known, greeting.known.clone());
+        match greeting.purpose {
+            wings::Purpose::Core => crate::core_link::bind(&judge, &greeting).await?,
+            wings::Purpose::Call | wings::Purpose::Watch => return Err("a core seat takes neither requests nor beats".into()),
+            wings::Purpose::Acquaint | wings::Purpose::Subscribe | wings::Purpose::Look => {}
+        }
+        Ok(judge.greeting(greeting.purpose))
+    })
+    .await;
+    match accepted {
+        Ok(conn) if conn.greeting.purpose == wings::Purpose::Core => crate::core_link::attend(&core, conn).await,
+        Ok(conn) if conn.greeting.purpose == wings::Purpose::Acquaint => drop(conn),
+        Ok(conn) => serve(core, conn).await,
+        Err(trouble) => slog::debug!(core.logger, "a caller was not taken"; "trouble" => %trouble),
+    }
+}
+
+async fn serve(core: crate::Core, mut conn: wings::Conn) {
+    let mut changed = core.changed.clone();
+    let (proved, mut proofs) = tokio::sync::mpsc::channel::<u64>(64);
+    let mut services: Option<(playbill::slice::Services, playbill::Position)> = None;
+    let mut last: Option<playbill::Slice> = None;
+    loop {
+        let number = tokio::select! {
+            frame = conn.receiver.recv() => match frame {
+                Some(wings::Frame::Subscribe { services: wanted, held }) => {
+                    services = Some((wanted, held));
+                    None
+                }
+                Some(wings::Frame::Ask { number }) => {
+                    let (reader, proved) = (core.clone(), proved.clone());
+                    tokio::spawn(async move {
+                        if reader.read().await.is_some() {
+                            proved.send(number).await.unwrap_or_default();
+                        }
+                    });
+                    continue;
+                }
+                Some(wings::Frame::Forward { number, entry }) => {
+                    let (writer, answers) = (core.clone(), conn.sender.clone());
+                    tokio::spawn(async move {
+                        let outcome = writer.submit(entry).await;
+                        drop(answers.send(wings::Frame::Answer { number, outcome }).await);
+                    });
+                    continue;
+                }
+                Some(wings::Frame::Look) => {
+                    let seen = serde_json::to_vec(&**core.book.load()).unwrap_or_default();
+                    drop(conn.sender.send(wings::Frame::Seen(seen)).await);
+                    continue;
+                }
+                Some(_) => continue,
+                None => return,
+            },
+            number = proofs.recv() => number,
+            moved = changed.changed() => if moved.is_err() { return } else { None },
+        };
+        let Some((wanted, held)) = &services else { continue };
+        // A seat that lags says nothing: news it sent early could later pass for unchanged.
+        if core.book.load().position < *held {
+            continue;
+        }
+        // News goes before the proof that leans on it, on the same FIFO channel.
+        let slice = playbill::Slice::cut(&core.book.load(), wanted);
+        let position = slice.position;
+        if !last.as_ref().is_some_and(|held| held.services == slice.services && held.says_the_same(&slice)) {
+            last = Some(slice.clone());
+            if conn.sender.send(wings::Frame::News(slice)).await.is_err() {
+                return;
+            }
+        }
+        if let Some(number) = number
+            && conn.sender.send(wings::Frame::Proof { number, position }).await.is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/view.rs
@@ -0,0 +1,44 @@
+//! What a node believes, and until when it may act on it (design 6.1).
+
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub slice: std::sync::Arc<playbill::Slice>,
+    /// Proof holds until then, on the clock that counts suspend.
+    pub fresh_until: playbill::Micros,
+}
+
+pub type SharedView = std::sync::Arc<arc_swap::ArcSwap<View>>;
+
+impl View {
+    pub fn fresh(&self, now: playbill::Micros) -> bool {
+        now < self.fresh_until
+    }
+
+    /// Versions never go back: older news is dropped, whoever brings it.
+    pub fn with_news(&self, slice: playbill::Slice) -> Option<View> {
+        let older = slice.position < self.slice.position;
+        (!older).then(|| View { slice: std::sync::Arc::new(slice), fresh_until: self.fresh_until })
+    }
+
+    /// A proof counts from when it was asked, and only if what is held here is at least as new.
+    pub fn with_proof(&self, asked: playbill::Micros, position: playbill::Position, bound: playbill::Micros) -> Option<View> {
+        let held = position >= self.slice.position;
+        held.then(|| View { slice: self.slice.clone(), fresh_until: self.fresh_until.max(asked + bound) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_view_never_slides_back_and_counts_from_the_asking() {
+        let view = super::View::default();
+        let at = |position| playbill::Slice { position, ..Default::default() };
+        let view = view.with_news(at(5)).expect("newer news");
+        assert!(view.with_news(at(4)).is_none());
+        assert!(view.with_proof(100, 4, 50).is_none(), "a home that lags proves nothing");
+        let view = view.with_proof(100, 5, 50).expect("proof");
+        assert!(view.fresh(149) && !view.fresh(150));
+        let late = view.with_proof(90, 5, 50).expect("an older asking");
+        assert_eq!(late.fresh_until, 150);
+    }
+}
--- /dev/null
+++ b/crates/greenroom/src/rooms.rs
@@ -0,0 +1,176 @@
+//! What a back end asks of the usher beside it (docs/operators/back-ends.md).
+
+use playbill::{Cause, Trouble};
+
+#[derive(Clone)]
+pub struct GreenroomEnv {
+    pub node: String,
+    pub zone: String,
+    pub beat_every: playbill::Micros,
+    pub bound: playbill::Micros,
+    pub house: stage::HouseDesk,
+    pub reports: gallery::Reports,
+    pub view: gallery::view::SharedView,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RegisterAsk {
+    name: String,
+    service: String,
+    zone: String,
+    slots: u32,
+    #[serde(default)]
+    labels: playbill::Labels,
+    address: String,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BeatAsk {
+    service: String,
+    zone: String,
+    slots: u32,
+    state: State,
+    #[serde(default)]
+    keys: Vec<u16>,
+}
+
+#[derive(PartialEq, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    Serving,
+    Draining,
+}
+
+struct Register(GreenroomEnv);
+struct Beat(GreenroomEnv);
+struct Drain(GreenroomEnv);
+struct SignOff(GreenroomEnv);
+
+pub fn router(env: GreenroomEnv) -> salvo::Router {
+    salvo::Router::with_path("back-end")
+        .push(salvo::Router::with_path("register").post(Register(env.clone())))
+        .push(salvo::Router::with_path("beat").post(Beat(env.clone())))
+        .push(salvo::Router::with_path("drain").post(Drain(env.clone())))
+        .push(salvo::Router::with_path("sign-off").post(SignOff(env)))
+}
+
+fn bad(detail: impl Into<String>) -> Trouble {
+    Trouble::new(Cause::BadRequest, detail)
+}
+
+fn check(env: &GreenroomEnv, ask: &RegisterAsk) -> Result<(), Trouble> {
+    let names = [&ask.name, &ask.service].into_iter().all(|name| playbill::check::is_name(name));
+    if !names {
+        return Err(bad("name and service are 1 to 63 of a-z, 0-9 and '-'"));
+    }
+    if ask.zone != env.zone {
+        return Err(bad(format!("this usher stands in the zone {:?}", env.zone)));
+    }
+    if ask.slots > 4_096 {
+        return Err(bad("slots is from 0 to 4096"));
+    }
+    ask.address.parse::<std::net::SocketAddr>().map(|_| ()).map_err(|_| bad("address is an IP number and port"))
+}
+
+#[salvo::handler]
+impl Register {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        match self.register(request).await {
+            Ok(answer) => lobby::json(response, 200, &answer),
+            Err(trouble) => lobby::trouble(response, None, &trouble),
+        }
+    }
+}
+
+impl Register {
+    async fn register(&self, request: &mut salvo::Request) -> Result<serde_json::Value, Trouble> {
+        let env = &self.0;
+        let ask: RegisterAsk = lobby::read(request).await.map_err(|fault| bad(fault.fault))?;
+        check(env, &ask)?;
+        let secret = format!("{:032x}", rand::random::<u128>());
+        let name = ask.name.clone();
+        let service = ask.service.clone();
+        let registration =
+            stage::house::Registration { name: ask.name, service: ask.service, zone: ask.zone, labels: ask.labels, slots: ask.slots, address: ask.address };
+        let incarnation = env.house.reserve(registration, secret.clone()).await?;
+        let back_end = env.house.back_end(&name).await.ok_or_else(|| Trouble::new(Cause::Leaving, "this usher is stopping"))?;
+        let report = playbill::standing::Report::Registered { name: name.clone(), back_end };
+        let outcome = tokio::time::timeout(std::time::Duration::from_secs(5), env.reports.tell(report)).await.ok().flatten();
+        let accepted = match &outcome {
+            Some(playbill::Outcome::Accepted { position, .. } | playbill::Outcome::Unchanged { position }) => Some(*position),
+            _ => None,
+        };
+        env.house.confirm(&name, incarnation, accepted.is_some()).await;
+        let position = accepted.ok_or_else(|| match outcome {
+            Some(playbill::Outcome::Refused { reason }) => bad(reason),
+            _ => Trouble::new(Cause::NotFresh, "the core did not answer").later(500_000),
+        })?;
+        until_seen(env, position, &service).await;
+        Ok(serde_json::json!({ "incarnation": incarnation, "secret": secret, "beat_every_us": env.beat_every, "position": position }))
+    }
+}
+
+/// A back end that has its answer can send at once: the news of its own service is here.
+async fn until_seen(env: &GreenroomEnv, position: playbill::Position, service: &str) {
+    let seen = async {
+        loop {
+            let view = env.view.load();
+            if view.slice.position >= position && view.slice.services.contains(service) && view.fresh(playbill::now()) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(2), seen).await.unwrap_or_default();
+}
+
+#[salvo::handler]
+impl Beat {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let secret = lobby::bearer(request).unwrap_or_default();
+        let ask: BeatAsk = match lobby::read(request).await {
+            Ok(ask) => ask,
+            Err(fault) => return lobby::trouble(response, None, &bad(fault.fault)),
+        };
+        let said = self.0.house.sender(&secret).is_some_and(|known| known.service == ask.service) && ask.zone == self.0.zone;
+        let Some(name) = self.0.house.beat(&secret, ask.state == State::Draining).await.filter(|_| said) else {
+            let gone = serde_json::json!({ "cause": "unknown_registration", "detail": "register again" });
+            return lobby::json(response, 410, &gone);
+        };
+        let answer = serde_json::json!({ "name": name, "slots": ask.slots, "terms": terms(&self.0, &name, &ask.service), "held": ask.keys.len() });
+        lobby::json(response, 200, &answer);
+    }
+}
+
+/// The slices this life holds, with their fences and how long the holding lasts without news.
+fn terms(env: &GreenroomEnv, name: &str, service: &str) -> Vec<serde_json::Value> {
+    let view = env.view.load();
+    let left = view.fresh_until.saturating_sub(playbill::now());
+    let life = view.slice.back_ends.get(name).map(|back_end| back_end.incarnation);
+    let terms = view.slice.terms.get(service);
+    terms
+        .into_iter()
+        .flatten()
+        .zip(0u16..)
+        .filter(|(term, _)| term.holder.as_ref().is_some_and(|(holder, held)| holder == name && Some(*held) == life))
+        .map(|(term, slice)| serde_json::json!({ "slice": slice, "fence": term.fence, "left_us": left }))
+        .collect()
+}
+
+#[salvo::handler]
+impl Drain {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let drained = self.0.house.beat(&lobby::bearer(request).unwrap_or_default(), true).await;
+        lobby::json(response, if drained.is_some() { 200 } else { 410 }, &serde_json::json!({ "draining": drained }));
+    }
+}
+
+#[salvo::handler]
+impl SignOff {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let gone = self.0.house.sign_off(&lobby::bearer(request).unwrap_or_default()).await;
+        lobby::json(response, if gone { 200 } else { 410 }, &serde_json::json!({ "signed_off": gone }));
+    }
+}
--- /dev/null
+++ b/crates/lobby/src/lib.rs
@@ -0,0 +1,71 @@
+//! HTTP plumbing the three outward peers share: binding, bodies, JSON, a stop that lets work end.
+
+/// The largest body taken from a sender, a back end or an operator.
+pub const BODY_LIMIT: usize = 1024 * 1024;
+
+pub struct Serving {
+    pub address: std::net::SocketAddr,
+    handle: salvo::server::ServerHandle,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Serving {
+    pub async fn start(address: &str, router: salvo::Router) -> std::io::Result<Serving> {
+        let listener = tokio::net::TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let server = salvo::Server::new(salvo::conn::tcp::TcpAcceptor::try_from(listener)?);
+        let handle = server.handle();
+        let task = tokio::spawn(server.serve(router));
+        Ok(Serving { address, handle, task })
+    }
+
+    /// Takes no more conns and waits until those at work are answered, at most `patience`.
+    pub async fn stop(self, patience: std::time::Duration) {
+        self.handle.stop_graceful(patience);
+        drop(tokio::time::timeout(patience, self.task).await);
+    }
+}
+
+pub fn json<T: serde::Serialize + Sync>(response: &mut salvo::Response, status: u16, value: &T) {
+    response.status_code(salvo::http::StatusCode::from_u16(status).unwrap_or(salvo::http::StatusCode::INTERNAL_SERVER_ERROR));
+    response.render(salvo::writing::Json(value));
+}
+
+pub fn header(request: &salvo::Request, name: &str) -> Option<String> {
+    request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_string)
+}
+
+/// The secret of `Authorization: Bearer …`.
+pub fn bearer(request: &salvo::Request) -> Option<String> {
+    header(request, "authorization").and_then(|text| text.strip_prefix("Bearer ").map(str::to_string))
+}
+
+/// `None` when it is over the limit or broke off.
+pub async fn body(request: &mut salvo::Request) -> Option<Vec<u8>> {
+    request.payload_with_max_size(BODY_LIMIT).await.ok().map(|bytes| bytes.to_vec())
+}
+
+/// Reads JSON into a checked type; the fault names the path serde was at.
+pub async fn read<T: serde::de::DeserializeOwned>(request: &mut salvo::Request) -> Result<T, playbill::check::Fault> {
+    let fault = |fault: String| playbill::check::Fault { path: "body".into(), fault };
+    let bytes = body(request).await.ok_or_else(|| fault(format!("is over {BODY_LIMIT} bytes or broke off")))?;
+    serde_json::from_slice(&bytes).map_err(|error| fault(error.to_string()))
+}
+
+/// A trouble as every HTTP peer sees it (docs/verdicts.md).
+pub fn trouble(response: &mut salvo::Response, try_id: Option<&str>, trouble: &playbill::Trouble) {
+    let headers = response.headers_mut();
+    let verdict = if trouble.verdict == playbill::Verdict::NotRun { "not-run" } else { "may-have-run" };
+    headers.insert("x-gradeford-verdict", salvo::http::HeaderValue::from_static(verdict));
+    if let Some(wait) = trouble.retry_after {
+        headers.insert("retry-after", salvo::http::HeaderValue::from(wait.div_ceil(1_000_000)));
+    }
+    let body = serde_json::json!({
+        "verdict": verdict,
+        "cause": trouble.cause.code(),
+        "detail": trouble.detail,
+        "try": try_id,
+        "retry_after_us": trouble.retry_after,
+    });
+    json(response, trouble.cause.status(), &body);
+}
--- /dev/null
+++ b/crates/playbill/src/entry.rs
@@ -0,0 +1,55 @@
+//! What the log holds, and what applying it answered (design 2.3).
+
+use crate::{Change, Incarnation, Position, check::Fault, standing};
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Act {
+    Change(Change),
+    Standing(standing::Report),
+}
+
+/// `origin`, `life` and `sequence` tell a repeat from a second entry.
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Entry {
+    pub origin: String,
+    pub life: Incarnation,
+    pub sequence: u64,
+    pub act: Act,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// In the log at this position; for a change also the new version of the desired state.
+    Accepted {
+        position: Position,
+        version: Position,
+    },
+    /// Nothing to do: it already stood so.
+    Unchanged {
+        position: Position,
+    },
+    Stale {
+        version: Position,
+    },
+    Invalid {
+        faults: Vec<Fault>,
+    },
+    /// The same change id was used before with other edits.
+    Reused {
+        version: Position,
+    },
+    Refused {
+        reason: String,
+    },
+}
+
+pub fn to_bytes(entry: &Entry) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(entry).map(|bytes| bytes.to_vec()).unwrap_or_default()
+}
+
+pub fn from_bytes(bytes: &[u8]) -> Option<Entry> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<Entry, rkyv::rancor::Error>(&aligned).ok()
+}
--- /dev/null
+++ b/crates/playbill/src/env.rs
@@ -0,0 +1,80 @@
+//! Settings from a file, overridden by flags, every fault named at once (design 10.1).
+
+use crate::check::Fault;
+
+pub const EXIT_USAGE: i32 = 2;
+
+/// Flags common to the daemons.
+pub struct Flags {
+    pub values: toml::Table,
+    pub check: bool,
+    pub file: Option<String>,
+}
+
+/// Reads `--config FILE`, `--check`, and one `--NAME VALUE` for each setting named.
+pub fn flags(mut arguments: pico_args::Arguments, settings: &[&'static str]) -> Result<Flags, Vec<Fault>> {
+    let fault = |path: &str, error: String| Fault { path: path.into(), fault: error };
+    let file: Option<String> = arguments.opt_value_from_str("--config").map_err(|error| vec![fault("--config", error.to_string())])?;
+    let check = arguments.contains("--check");
+    let mut values = toml::Table::new();
+    let mut faults = Vec::new();
+    settings.iter().for_each(|setting| {
+        let flag: &'static str = Box::leak(format!("--{}", setting.replace('_', "-")).into_boxed_str());
+        match arguments.opt_value_from_str::<_, String>(flag) {
+            Ok(Some(text)) => {
+                values.insert(setting.to_string(), scalar(&text));
+            }
+            Ok(None) => {}
+            Err(error) => faults.push(fault(flag, error.to_string())),
+        }
+    });
+    let unknown = arguments.finish().into_iter().map(|left| fault(&left.to_string_lossy(), "is not a flag of this program".into()));
+    faults.extend(unknown);
+    if faults.is_empty() { Ok(Flags { values, check, file }) } else { Err(faults) }
+}
+
+/// A flag's text is a number, a yes or no, a list with commas, or plain text.
+fn scalar(text: &str) -> toml::Value {
+    if text.contains(',') {
+        return toml::Value::Array(text.split(',').filter(|part| !part.is_empty()).map(|part| toml::Value::String(part.into())).collect());
+    }
+    text.parse::<i64>()
+        .map(toml::Value::Integer)
+        .or_else(|_| text.parse::<bool>().map(toml::Value::Boolean))
+        .unwrap_or_else(|_| toml::Value::String(text.into()))
+}
+
+pub fn load<T: serde::de::DeserializeOwned + validator::Validate>(flags: &Flags) -> Result<T, Vec<Fault>> {
+    let fault = |path: &str, error: String| vec![Fault { path: path.into(), fault: error }];
+    let text = match &flags.file {
+        Some(file) => std::fs::read_to_string(file).map_err(|error| fault(file, error.to_string()))?,
+        None => String::new(),
+    };
+    let mut table: toml::Table = text.parse().map_err(|error: toml::de::Error| fault("config", error.message().to_string()))?;
+    table.extend(flags.values.clone());
+    let settings: T = toml::Value::Table(table).try_into().map_err(|error: toml::de::Error| fault("config", error.message().to_string()))?;
+    match validator::Validate::validate(&settings) {
+        Ok(()) => Ok(settings),
+        Err(errors) => Err(crate::check::faults_of("config", &errors)),
+    }
+}
+
+pub fn tell(program: &str, faults: &[Fault]) {
+    faults.iter().for_each(|fault| eprintln!("{program}: {}: {}", fault.path, fault.fault));
+}
+
+pub fn is_address(text: &str) -> Result<(), validator::ValidationError> {
+    text.parse::<std::net::SocketAddr>()
+        .map(|_| ())
+        .map_err(|_| validator::ValidationError::new("address").with_message("is an IP number and port, as in 127.0.0.1:7000".into()))
+}
+
+pub fn are_addresses(list: &[String]) -> Result<(), validator::ValidationError> {
+    list.iter().try_for_each(|text| is_address(text))
+}
+
+pub fn is_level(text: &str) -> Result<(), validator::ValidationError> {
+    text.parse::<slog::Level>()
+        .map(|_| ())
+        .map_err(|()| validator::ValidationError::new("level").with_message("is critical, error, warning, info, debug or trace".into()))
+}
--- /dev/null
+++ b/crates/playbill/src/lib.rs
@@ -0,0 +1,32 @@
+//! The words all parts of gradeford share: desired state, standing, terms, verdicts (design 2).
+
+pub mod book;
+pub mod check;
+pub mod clock;
+pub mod desired;
+pub mod entry;
+pub mod env;
+pub mod log;
+pub mod slice;
+pub mod standing;
+mod standing_rules;
+pub mod terms;
+pub mod verdict;
+
+pub use book::Book;
+pub use clock::{Micros, now};
+pub use desired::{Change, DesiredState, Edit, Grouping, Order, Selector};
+pub use entry::{Act, Entry, Outcome};
+pub use slice::Slice;
+pub use standing::{BackEnd, Node, Phase, Standing};
+pub use verdict::{Cause, Trouble, Verdict};
+
+/// Position in the log of effective entries: the version everything is fenced by.
+pub type Position = u64;
+pub type ServiceName = String;
+pub type ZoneName = String;
+pub type BackEndName = String;
+pub type NodeName = String;
+/// One life of a back end or a node; never reused, larger for a later life.
+pub type Incarnation = u64;
+pub type Labels = std::collections::BTreeMap<String, String>;
--- /dev/null
+++ b/crates/playbill/tests/verdicts.rs
@@ -0,0 +1,16 @@
+//! The page senders rely on says what the code does.
+
+#[test]
+fn the_table_and_the_code_agree() {
+    let page = include_str!("../../../docs/verdicts.md");
+    playbill::Cause::ALL.iter().for_each(|cause| {
+        let verdict = match cause.verdict() {
+            playbill::Verdict::NotRun => "not-run",
+            playbill::Verdict::MayHaveRun => "may-have-run",
+        };
+        let row = format!("| `{}` | {verdict} | {} |", cause.code(), cause.status());
+        assert!(page.contains(&row), "the page lacks {row}");
+    });
+    let rows = page.lines().filter(|line| line.starts_with("| `")).count();
+    assert_eq!(rows, playbill::Cause::ALL.len(), "the page lists causes the code does not have");
+}
--- /dev/null
+++ b/crates/prompter/src/main.rs
@@ -0,0 +1,71 @@
+//! A core seat: orders the log, keeps it on disk, brings versions to the nodes (docs/operators/running.md).
+
+mod env;
+
+const HELP: &str = "\
+prompter: a core seat of gradeford
+
+usage: prompter [--config FILE] [--SETTING VALUE ...] [--check]
+
+  --config FILE   settings as TOML; a flag of the same name goes first
+  --check         read and check the settings, then stop
+  --help          this page
+  --version       name and version
+
+settings: name, zone, seat, seats, mates_address, operators_address, advertised_address,
+  seeds, folder, alpha, tau_us, beta, snapshot_every, log_level
+SIGTERM stops it in good order, SIGHUP reads the settings again.
+exit codes: 0 stopped as asked, 1 failed, 2 settings or flags at fault
+";
+
+fn main() {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        return print!("{HELP}");
+    }
+    if arguments.contains("--version") {
+        return println!("prompter {}", env!("CARGO_PKG_VERSION"));
+    }
+    let settings = playbill::env::flags(arguments, env::NAMES).and_then(|flags| playbill::env::load::<env::Env>(&flags).map(|env| (flags, env)));
+    let (flags, env) = settings.unwrap_or_else(|faults| {
+        playbill::env::tell("prompter", &faults);
+        std::process::exit(playbill::env::EXIT_USAGE)
+    });
+    if flags.check {
+        return println!("prompter: the settings are fine");
+    }
+    let runtime = tokio::runtime::Runtime::new();
+    let ended = runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run(flags, env)));
+    if let Err(trouble) = ended {
+        eprintln!("prompter: {trouble}");
+        std::process::exit(1);
+    }
+}
+
+async fn run(flags: playbill::env::Flags, env: env::Env) -> Result<(), String> {
+    let (logger, _guard) = playbill::log::start("prompter", &env.name, env.level());
+    let told = |what: &str, error: &dyn std::fmt::Display| format!("{what}: {error}");
+    let mates = tokio::net::TcpListener::bind(&env.mates_address).await.map_err(|error| told("mates_address", &error))?;
+    let address = mates.local_addr().map_err(|error| told("mates_address", &error))?.to_string();
+    let core = gallery::Core::start(env.core(address.clone()), logger.clone()).map_err(|error| told("folder", &error))?;
+    let staying = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let office = boxoffice::Boxoffice { core: core.clone(), staying: staying.clone() };
+    let serving = lobby::Serving::start(&env.operators_address, boxoffice::router(office)).await.map_err(|error| told("operators_address", &error))?;
+    slog::info!(logger, "listening"; "mates" => address, "operators" => serving.address.to_string());
+    tokio::spawn(gallery::news::listen(core, mates));
+    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut reload = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).map_err(|error| error.to_string())?;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => match playbill::env::load::<env::Env>(&flags) {
+                Ok(fresh) => slog::info!(logger, "settings read again"; "restart_needed" => fresh != env),
+                Err(faults) => slog::error!(logger, "settings at fault, the old ones stay"; "faults" => ?faults),
+            },
+        }
+    }
+    slog::info!(logger, "stopping");
+    staying.store(false, std::sync::atomic::Ordering::Relaxed);
+    serving.stop(std::time::Duration::from_secs(5)).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rehearsal/src/deployment.rs
@@ -0,0 +1,120 @@
+//! The two sites of the brief, and a small one for a quick look (design 9.5).
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Sending {
+    pub service: String,
+    pub path: String,
+    pub wait_us: u64,
+    pub repeatable: bool,
+    pub keyed: bool,
+    pub weight: u32,
+}
+
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub name: &'static str,
+    pub zones: usize,
+    pub cores: usize,
+    pub rate: f64,
+    pub slots: u32,
+    pub work_us: u64,
+    /// Service and how many back ends it has.
+    pub services: Vec<(&'static str, usize)>,
+    /// Sender, target, path, repeatable, keyed, importance, share of the sender's traffic.
+    pub lanes: Vec<Lane>,
+}
+
+pub type Lane = (&'static str, &'static str, &'static str, bool, bool, u8, u32);
+
+pub const WAIT: u64 = 3_000_000;
+
+pub fn named(name: &str) -> Option<Deployment> {
+    match name {
+        "swanreach" => Some(Deployment {
+            name: "swanreach",
+            zones: 4,
+            cores: 5,
+            rate: 650.0,
+            slots: 12,
+            work_us: 5_000,
+            services: vec![("seat", 7), ("entitlement", 4)],
+            lanes: vec![
+                ("seat", "seat", "/check", true, false, 3, 45),
+                ("seat", "seat", "/checkout", false, true, 7, 35),
+                ("seat", "entitlement", "/lookup", true, false, 5, 20),
+                ("entitlement", "entitlement", "/renew", false, true, 8, 60),
+                ("entitlement", "entitlement", "/return", false, true, 6, 40),
+            ],
+        }),
+        "kurasa" => Some(Deployment {
+            name: "kurasa",
+            zones: 3,
+            cores: 5,
+            rate: 250.0,
+            slots: 9,
+            work_us: 8_000,
+            services: vec![("catalogue", 8), ("orders", 3)],
+            lanes: vec![
+                ("catalogue", "catalogue", "/browse", true, false, 2, 60),
+                ("catalogue", "catalogue", "/reserve", false, true, 6, 25),
+                ("catalogue", "orders", "/stock", true, false, 4, 15),
+                ("orders", "orders", "/pay", false, false, 9, 50),
+                ("orders", "orders", "/receipt", false, false, 8, 50),
+            ],
+        }),
+        "small" => Some(Deployment {
+            name: "small",
+            zones: 2,
+            cores: 3,
+            rate: 40.0,
+            slots: 4,
+            work_us: 1_000,
+            services: vec![("seat", 2)],
+            lanes: vec![("seat", "seat", "/check", true, false, 3, 50), ("seat", "seat", "/checkout", false, true, 7, 50)],
+        }),
+        _ => None,
+    }
+}
+
+impl Deployment {
+    /// Machines with back ends: name, service, zone.
+    pub fn back_ends(&self) -> Vec<(String, &'static str, usize)> {
+        self.services
+            .iter()
+            .flat_map(|(service, count)| (0..*count).map(move |at| (format!("{service}-{at}"), *service)))
+            .enumerate()
+            .map(|(at, (name, service))| (name, service, at % self.zones))
+            .collect()
+    }
+
+    pub fn sends(&self, service: &str) -> Vec<Sending> {
+        self.lanes
+            .iter()
+            .filter(|lane| lane.0 == service)
+            .map(|(_, target, path, repeatable, keyed, _, weight)| Sending {
+                service: target.to_string(),
+                path: path.to_string(),
+                wait_us: WAIT,
+                repeatable: *repeatable,
+                keyed: *keyed,
+                weight: *weight,
+            })
+            .collect()
+    }
+
+    /// The groupings and standing orders of the site, as an operator would write them.
+    pub fn edits(&self) -> Vec<serde_json::Value> {
+        let zones = 0..self.zones;
+        let groupings = self.services.iter().flat_map(|(service, _)| {
+            zones.clone().map(move |zone| {
+                serde_json::json!({ "put_grouping": { "name": format!("{service}-z{zone}"), "grouping": { "service": service, "zone": format!("z{zone}") } } })
+            })
+        });
+        let orders = self.lanes.iter().map(|(from, service, path, repeatable, keyed, importance, _)| {
+            serde_json::json!({ "put_order": { "name": format!("{from}-{service}-{}", &path[1..]), "order": {
+                "selector": { "from": [from], "service": service, "path_prefix": path },
+                "wait_us": WAIT, "importance": importance, "repeatable": repeatable, "keyed": keyed } } })
+        });
+        groupings.chain(orders).collect()
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/fleet.rs
@@ -0,0 +1,204 @@
+//! All of a site's processes on one machine, on loopback (design 9.5).
+
+use crate::deployment::Deployment;
+use crate::process::Process;
+
+pub struct Core {
+    pub process: Option<Process>,
+    pub arguments: Vec<String>,
+    pub operators: String,
+    pub mates: String,
+}
+
+pub struct Machine {
+    pub usher: Option<Process>,
+    pub usher_arguments: Vec<String>,
+    pub understudy: Option<Process>,
+    pub understudy_arguments: Vec<String>,
+    pub name: String,
+    pub local: String,
+    pub mates: String,
+}
+
+pub struct Fleet {
+    pub folder: std::path::PathBuf,
+    pub deployment: Deployment,
+    pub cores: Vec<Core>,
+    pub machines: Vec<Machine>,
+    pub http: reqwest::Client,
+}
+
+/// A port that was free a moment ago, on a loopback address of this run's own.
+fn free(host: &str) -> Result<String, String> {
+    let listener = std::net::TcpListener::bind(format!("{host}:0")).map_err(|error| error.to_string())?;
+    listener.local_addr().map(|address| address.to_string()).map_err(|error| error.to_string())
+}
+
+fn words(pairs: &[(&str, String)]) -> Vec<String> {
+    pairs.iter().flat_map(|(flag, value)| [format!("--{flag}"), value.clone()]).collect()
+}
+
+impl Fleet {
+    pub fn plan(deployment: Deployment, folder: std::path::PathBuf, seed: u64, spoil: u32) -> Result<Fleet, String> {
+        std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let id = std::process::id();
+        let host = |machine: usize| format!("127.{}.{}.{}", 16 + id / 250 % 200, id % 250, machine + 1);
+        let places = (0..deployment.cores).map(|seat| Ok((free(&host(seat))?, free(&host(seat))?))).collect::<Result<Vec<_>, String>>()?;
+        let seeds = places.iter().take(3).map(|(mates, _)| mates.clone()).collect::<Vec<_>>().join(",") + ",";
+        let cores = places
+            .iter()
+            .enumerate()
+            .map(|(seat, (mates, operators))| {
+                let arguments = words(&[
+                    ("name", format!("core-{seat}")),
+                    ("zone", format!("z{}", seat % deployment.zones)),
+                    ("seat", seat.to_string()),
+                    ("seats", deployment.cores.to_string()),
+                    ("mates-address", mates.clone()),
+                    ("operators-address", operators.clone()),
+                    ("seeds", seeds.clone()),
+                    ("folder", folder.join(format!("core-{seat}")).display().to_string()),
+                ]);
+                Core { process: None, arguments, operators: operators.clone(), mates: mates.clone() }
+            })
+            .collect();
+        let back_ends = deployment.back_ends();
+        let rate = deployment.rate / back_ends.len() as f64;
+        let machines = back_ends
+            .iter()
+            .enumerate()
+            .map(|(at, (name, service, zone))| {
+                let host = host(deployment.cores + at);
+                let (mates, local, listen) = (free(&host)?, free(&host)?, free(&host)?);
+                let usher_arguments = words(&[
+                    ("name", format!("node-{name}")),
+                    ("zone", format!("z{zone}")),
+                    ("mates-address", mates.clone()),
+                    ("local-address", local.clone()),
+                    ("seeds", seeds.clone()),
+                ]);
+                let understudy_arguments = std::iter::once("understudy".to_string())
+                    .chain(words(&[
+                        ("name", name.clone()),
+                        ("service", service.to_string()),
+                        ("zone", format!("z{zone}")),
+                        ("slots", deployment.slots.to_string()),
+                        ("usher", local.clone()),
+                        ("listen", listen),
+                        ("history", folder.join(format!("{name}.history")).display().to_string()),
+                        ("work", deployment.work_us.to_string()),
+                        ("spoil", spoil.to_string()),
+                        ("seed", (seed * 1_000 + at as u64).to_string()),
+                        ("rate", rate.to_string()),
+                        ("sends", serde_json::to_string(&deployment.sends(service)).unwrap_or_default()),
+                    ]))
+                    .collect();
+                Ok(Machine { usher: None, usher_arguments, understudy: None, understudy_arguments, name: name.clone(), local, mates })
+            })
+            .collect::<Result<Vec<_>, String>>()?;
+        let http = reqwest::Client::builder().no_proxy().timeout(std::time::Duration::from_secs(10)).build().map_err(|error| error.to_string())?;
+        Ok(Fleet { folder, deployment, cores, machines, http })
+    }
+
+    pub fn start_core(&mut self, seat: usize) -> Result<(), String> {
+        let core = &mut self.cores[seat];
+        core.process = Some(Process::start(&self.folder, &format!("core-{seat}"), "prompter", &core.arguments)?);
+        Ok(())
+    }
+
+    pub fn start_usher(&mut self, at: usize) -> Result<(), String> {
+        let machine = &mut self.machines[at];
+        machine.usher = Some(Process::start(&self.folder, &format!("node-{}", machine.name), "usher", &machine.usher_arguments)?);
+        Ok(())
+    }
+
+    pub fn start_understudy(&mut self, at: usize) -> Result<(), String> {
+        let machine = &mut self.machines[at];
+        machine.understudy = Some(Process::start(&self.folder, &machine.name, "rehearsal", &machine.understudy_arguments)?);
+        Ok(())
+    }
+
+    /// Everything up, the site's orders accepted, every back end registered.
+    pub async fn start(&mut self) -> Result<(), String> {
+        (0..self.cores.len()).try_for_each(|seat| self.start_core(seat))?;
+        let cores: Vec<String> = self.cores.iter().map(|core| core.operators.clone()).collect();
+        self.until_ready(&cores).await?;
+        self.apply("site", 0, self.deployment.edits()).await?;
+        (0..self.machines.len()).try_for_each(|at| self.start_usher(at))?;
+        let ushers: Vec<String> = self.machines.iter().map(|machine| machine.local.clone()).collect();
+        self.until_ready(&ushers).await?;
+        (0..self.machines.len()).try_for_each(|at| self.start_understudy(at))?;
+        self.until_standing(self.machines.len()).await
+    }
+
+    pub async fn get(&self, address: &str, path: &str) -> Option<(u16, serde_json::Value)> {
+        let response = self.http.get(format!("http://{address}{path}")).send().await.ok()?;
+        Some((response.status().as_u16(), response.json().await.ok()?))
+    }
+
+    /// One atomic change through the first core seat that answers; answers with the new version.
+    pub async fn apply(&self, id: &str, base: u64, edits: Vec<serde_json::Value>) -> Result<serde_json::Value, String> {
+        let change = serde_json::json!({ "id": id, "base": base, "edits": edits });
+        for core in &self.cores {
+            let sent = self.http.post(format!("http://{}/v1/changes", core.operators)).json(&change).send().await;
+            if let Ok(response) = sent
+                && response.status().as_u16() < 500
+            {
+                let status = response.status();
+                let answer: serde_json::Value = response.json().await.map_err(|error| error.to_string())?;
+                return if status.is_success() { Ok(answer) } else { Err(answer.to_string()) };
+            }
+        }
+        Err("no core seat took the change".into())
+    }
+
+    /// Waits as long as it takes, up to a minute: a bound for broken runs, not a figure.
+    async fn until<F: Future<Output = bool>>(&self, what: &str, holds: impl Fn() -> F) -> Result<(), String> {
+        let waiting = async {
+            while !holds().await {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(std::time::Duration::from_secs(60), waiting).await.map_err(|_| format!("never came: {what}"))
+    }
+
+    pub async fn until_ready(&self, addresses: &[String]) -> Result<(), String> {
+        for address in addresses {
+            self.until(&format!("{address} ready"), || async { matches!(self.get(address, "/ready").await, Some((200, _))) }).await?;
+        }
+        Ok(())
+    }
+
+    pub async fn until_standing(&self, count: usize) -> Result<(), String> {
+        self.until("back ends registered", || async {
+            let mut registered = 0;
+            for core in &self.cores {
+                if let Some((200, standing)) = self.get(&core.operators, "/v1/standing").await {
+                    let back_ends = standing["standing"]["back_ends"].as_object().cloned().unwrap_or_default();
+                    registered = back_ends.values().filter(|held| held["phase"] == "registered").count();
+                    break;
+                }
+            }
+            registered >= count
+        })
+        .await
+    }
+
+    /// Stand-ins first, each in good order, so that histories are whole; then nodes, then the core.
+    pub async fn stop(&mut self) {
+        let all = [
+            self.machines.iter_mut().filter_map(|machine| machine.understudy.take()).collect::<Vec<_>>(),
+            self.machines.iter_mut().filter_map(|machine| machine.usher.take()).collect(),
+            self.cores.iter_mut().filter_map(|core| core.process.take()).collect(),
+        ];
+        for mut group in all {
+            group.iter().for_each(|process| process.signal(rustix::process::Signal::TERM));
+            let ended = async {
+                while !group.iter_mut().all(|process| process.ended().is_some()) {
+                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                }
+            };
+            tokio::time::timeout(std::time::Duration::from_secs(15), ended).await.unwrap_or_default();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/history.rs
@@ -0,0 +1,198 @@
+//! What stand-ins saw, one JSON line each, and what must hold over all of it (design 9.5).
+
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Record {
+    /// A back end began to run a request; written before anything else happens.
+    Began {
+        run: String,
+        try_id: String,
+        at: u64,
+        by: String,
+        life: u64,
+        service: String,
+        meant_for: String,
+        sender: String,
+        path: String,
+        key: Option<String>,
+    },
+    Ended {
+        run: String,
+        at: u64,
+    },
+    /// A sender was told how its try ended.
+    Told {
+        try_id: String,
+        at: u64,
+        by: String,
+        service: String,
+        target: String,
+        path: String,
+        status: u16,
+        verdict: Option<String>,
+        cause: Option<String>,
+        whole: bool,
+    },
+    /// A back end asked to be drained, or was killed, at this time.
+    Leaving {
+        by: String,
+        at: u64,
+    },
+}
+
+#[derive(Debug, Default, serde::Serialize)]
+pub struct Report {
+    pub asked: usize,
+    pub served: usize,
+    pub not_run: usize,
+    pub may_have_run: usize,
+    pub causes: std::collections::BTreeMap<String, usize>,
+    pub invariants: std::collections::BTreeMap<String, Vec<String>>,
+}
+
+impl Report {
+    pub fn held(&self) -> bool {
+        self.invariants.values().all(Vec::is_empty)
+    }
+}
+
+pub fn read(folder: &std::path::Path) -> std::io::Result<Vec<Record>> {
+    let files: Vec<_> = std::fs::read_dir(folder)?.filter_map(Result::ok).filter(|file| file.path().extension().is_some_and(|end| end == "history")).collect();
+    // A killed process may leave its last line unfinished.
+    let lines = files.into_iter().map(|file| std::fs::read_to_string(file.path())).collect::<Result<Vec<_>, _>>()?;
+    Ok(lines.iter().flat_map(|text| text.lines()).filter_map(|line| serde_json::from_str(line).ok()).collect())
+}
+
+/// Paths whose requests may run twice; everything else must not.
+pub fn check(records: &[Record], repeatable: &[&str], allowed: &[(&str, &str)]) -> Report {
+    let mut report = Report::default();
+    let began: Vec<&Record> = records.iter().filter(|record| matches!(record, Record::Began { .. })).collect();
+    let runs = began.iter().fold(std::collections::HashMap::<&str, usize>::new(), |mut runs, record| {
+        if let Record::Began { try_id, .. } = record {
+            *runs.entry(try_id).or_default() += 1;
+        }
+        runs
+    });
+    let mut broken = |name: &str, found: Vec<String>| drop(report.invariants.insert(name.to_string(), found));
+    broken(
+        "nothing_runs_twice",
+        began
+            .iter()
+            .filter_map(|record| match record {
+                Record::Began { try_id, path, .. } if !repeatable.iter().any(|start| path.starts_with(start)) && runs[try_id.as_str()] > 1 => {
+                    Some(format!("{try_id} {path}"))
+                }
+                _ => None,
+            })
+            .collect(),
+    );
+    broken(
+        "not_run_did_not_run",
+        told(records)
+            .filter(|(try_id, verdict, _, _)| *verdict == Some("not-run") && runs.contains_key(try_id))
+            .map(|(try_id, ..)| try_id.to_string())
+            .collect(),
+    );
+    broken(
+        "success_is_whole",
+        told(records)
+            .filter(|(try_id, verdict, whole, _)| verdict.is_none() && (!whole || !runs.contains_key(try_id)))
+            .map(|(try_id, ..)| try_id.to_string())
+            .collect(),
+    );
+    broken(
+        "routes_are_kept",
+        began
+            .iter()
+            .filter_map(|record| match record {
+                Record::Began { try_id, service, meant_for, sender, .. } if service != meant_for || !allowed.contains(&(sender.as_str(), service.as_str())) => {
+                    Some(format!("{try_id} for {meant_for} at {service}"))
+                }
+                _ => None,
+            })
+            .collect(),
+    );
+    broken(
+        "senders_are_told_truly",
+        began
+            .iter()
+            .filter_map(|record| match record {
+                Record::Began { try_id, sender, .. } if try_id.split('/').next() != Some(sender.as_str()) => Some(format!("{try_id} told as {sender}")),
+                _ => None,
+            })
+            .collect(),
+    );
+    broken("one_holder_a_key", overlaps(records));
+    broken("drained_gets_nothing_new", after_leaving(records));
+    report.asked = told(records).count();
+    report.served = told(records).filter(|(_, verdict, ..)| verdict.is_none()).count();
+    report.not_run = told(records).filter(|(_, verdict, ..)| *verdict == Some("not-run")).count();
+    report.may_have_run = report.asked - report.served - report.not_run;
+    told(records).filter_map(|(.., cause)| cause).for_each(|cause| *report.causes.entry(cause.to_string()).or_default() += 1);
+    report
+}
+
+type Telling<'a> = (&'a str, Option<&'a str>, bool, Option<&'a str>);
+
+fn told(records: &[Record]) -> impl Iterator<Item = Telling<'_>> {
+    records.iter().filter_map(|record| match record {
+        Record::Told { try_id, verdict, whole, cause, .. } => Some((try_id.as_str(), verdict.as_deref(), *whole, cause.as_deref())),
+        _ => None,
+    })
+}
+
+/// From, to, by whom.
+type Span<'a> = (u64, u64, &'a str);
+
+/// Two back ends at work on one key of one service at the same time.
+fn overlaps(records: &[Record]) -> Vec<String> {
+    let ends: std::collections::HashMap<&str, u64> = records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Ended { run, at } => Some((run.as_str(), *at)),
+            _ => None,
+        })
+        .collect();
+    let mut spans: std::collections::BTreeMap<(&str, &str), Vec<Span>> = Default::default();
+    records.iter().for_each(|record| {
+        if let Record::Began { run, at, by, service, key: Some(key), .. } = record {
+            // A run without an end was killed with its back end: it did nothing after its beginning.
+            spans.entry((service, key)).or_default().push((*at, ends.get(run.as_str()).copied().unwrap_or(*at), by));
+        }
+    });
+    spans
+        .iter_mut()
+        .flat_map(|((service, key), spans)| {
+            spans.sort();
+            let mut latest: (u64, &str) = (0, "");
+            spans
+                .iter()
+                .filter_map(|(from, to, by)| {
+                    let clash = *from < latest.0 && *by != latest.1;
+                    if *to > latest.0 {
+                        latest = (*to, by);
+                    }
+                    clash.then(|| format!("{service} {key} at {from} by {by} and another"))
+                })
+                .collect::<Vec<_>>()
+        })
+        .collect()
+}
+
+/// Two and a half seconds after it said it was leaving, nothing new begins at a back end.
+fn after_leaving(records: &[Record]) -> Vec<String> {
+    let leaving: std::collections::HashMap<&str, u64> = records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Leaving { by, at } => Some((by.as_str(), *at)),
+            _ => None,
+        })
+        .collect();
+    records
+        .iter()
+        .filter_map(|record| match record {
+            Record::Began { try_id, at, by, .. } => leaving.get(by.as_str()).filter(|left| *at > **left + 2_500_000).map(|_| format!("{try_id} at {by}")),
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/rehearsal/src/process.rs
@@ -0,0 +1,46 @@
+//! Processes of a rehearsal. Only this program starts any; it ends those it started, by id.
+
+pub struct Process {
+    pub name: String,
+    child: std::process::Child,
+}
+
+impl Process {
+    /// `program` stands beside this one; its log goes to a file in the run's folder.
+    pub fn start(folder: &std::path::Path, name: &str, program: &str, arguments: &[String]) -> Result<Process, String> {
+        let beside = std::env::current_exe().map_err(|error| error.to_string())?;
+        // Tests live one folder deeper than programs.
+        let folders = beside.ancestors().skip(1).take(2).map(|folder| folder.join(program));
+        let path = folders.into_iter().find(|path| path.exists()).ok_or_else(|| format!("{program} is not built; run cargo build --workspace first"))?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log"))).map_err(|error| error.to_string())?;
+        let child = std::process::Command::new(path)
+            .args(arguments)
+            .stdin(std::process::Stdio::null())
+            .stdout(std::process::Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|error| format!("{program}: {error}"))?;
+        Ok(Process { name: name.to_string(), child })
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        if let Some(id) = rustix::process::Pid::from_raw(self.child.id() as i32) {
+            rustix::process::kill_process(id, signal).unwrap_or_default();
+        }
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap_or_default();
+        drop(self.child.wait());
+    }
+
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/sim/effects.rs
@@ -0,0 +1,85 @@
+//! Carrying out what a seat asks for, each effect a numbered point (design 9.2).
+
+use super::world::Event;
+
+type Seat = repertory::Seat;
+
+impl super::World {
+    /// Each effect is a numbered point; a plan may crash the seat just before it is carried out.
+    pub(super) fn carry_out(&mut self, seat: Seat) {
+        let effects = self.nodes[seat as usize].machine.as_mut().map(repertory::Repertory::drain).unwrap_or_default();
+        for effect in effects {
+            self.nodes[seat as usize].points += 1;
+            self.counts.points += 1;
+            if self.plan.crash_at == Some((seat, self.nodes[seat as usize].points)) {
+                self.crash(seat);
+                let now = self.now;
+                self.at_fault(now + 700_000, super::Fault::Start(seat));
+            }
+            if self.nodes[seat as usize].machine.is_none() {
+                return;
+            }
+            self.carry_out_one(seat, effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, seat: Seat, effect: repertory::Effect) {
+        match effect {
+            repertory::Effect::Send(to, frame) => {
+                self.counts.frames += 1;
+                self.counts.revocations += matches!(frame.message, repertory::Message::Prepare { .. }) as u64;
+                let (x, y) = (seat as usize, to as usize);
+                let time = (self.now + self.draw(self.plan.hop)).max(self.last_delivery[x][y] + 1);
+                self.last_delivery[x][y] = time;
+                let epoch = self.epochs[x][y];
+                self.at(time, Event::Deliver { from: seat, to, epoch, frame });
+            }
+            repertory::Effect::Persist { ticket, writes, afresh } => {
+                self.counts.syncs += 1;
+                let wait = if self.plan.lying_disk { 0 } else { self.draw(self.plan.sync) + self.nodes[seat as usize].disk_slow };
+                let life = self.nodes[seat as usize].life;
+                if self.plan.lying_disk {
+                    self.keep(seat);
+                }
+                self.nodes[seat as usize].unsynced = Some((ticket, writes, afresh));
+                let now = self.now;
+                self.at(now + wait, Event::Synced { seat, life, ticket });
+            }
+            repertory::Effect::Apply(at, value) => {
+                self.nodes[seat as usize].history.push((at, value.clone()));
+                self.findings.applied(seat, at, &value, self.plan.seats);
+                self.snapshot_when_due(seat, at + 1);
+            }
+            repertory::Effect::Install { state, .. } => {
+                self.nodes[seat as usize].history = rkyv::from_bytes::<Vec<(u64, Vec<u8>)>, rkyv::rancor::Error>(&state).unwrap_or_default();
+            }
+            repertory::Effect::ReadReady(token) => {
+                let node = &mut self.nodes[seat as usize];
+                let applied = node.machine.as_ref().map(repertory::Repertory::applied).unwrap_or(0);
+                self.findings.read_done(token, applied);
+            }
+        }
+    }
+
+    fn snapshot_when_due(&mut self, seat: Seat, through: repertory::Instance) {
+        let node = &mut self.nodes[seat as usize];
+        node.since_snapshot += 1;
+        if self.plan.snapshot_every > 0 && node.since_snapshot >= self.plan.snapshot_every {
+            node.since_snapshot = 0;
+            let state = rkyv::to_bytes::<rkyv::rancor::Error>(&node.history).map(|bytes| bytes.to_vec()).unwrap_or_default();
+            if let Some(machine) = node.machine.as_mut() {
+                machine.step(self.now, repertory::Input::Snapshot { through, state });
+            }
+        }
+    }
+
+    pub(super) fn keep(&mut self, seat: Seat) {
+        let node = &mut self.nodes[seat as usize];
+        if let Some((_, writes, afresh)) = node.unsynced.take() {
+            if afresh {
+                node.disk.clear();
+            }
+            node.disk.extend(writes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/sim/mod.rs
@@ -0,0 +1,12 @@
+//! Core seats under virtual time: the real ordering machine, a made-up network and disks (design 9.1).
+
+mod check;
+mod effects;
+mod faults;
+mod plan;
+mod world;
+
+pub use check::Findings;
+pub use faults::{Fault, schedule};
+pub use plan::{Counts, Plan};
+pub use world::World;
--- /dev/null
+++ b/crates/rehearsal/src/sim/plan.rs
@@ -0,0 +1,33 @@
+//! What a simulated run is told, and what it counts (design 9.1).
+
+type Micros = repertory::Micros;
+type Seat = repertory::Seat;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seats: u16,
+    pub seed: u64,
+    pub hop: (Micros, Micros),
+    pub sync: (Micros, Micros),
+    pub tuning: repertory::Tuning,
+    /// Applied entries between two snapshots; 0 takes none.
+    pub snapshot_every: usize,
+    /// A broken disk that reports a sync before anything is kept. Only to show the checker bites.
+    pub lying_disk: bool,
+    /// Crash the seat when it reaches the numbered point (design 9.2).
+    pub crash_at: Option<(Seat, u64)>,
+}
+
+impl Plan {
+    pub fn new(seats: u16, seed: u64) -> Self {
+        Plan { seats, seed, hop: (300, 1_500), sync: (500, 5_000), tuning: repertory::Tuning::default(), snapshot_every: 40, lying_disk: false, crash_at: None }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub frames: u64,
+    pub syncs: u64,
+    pub revocations: u64,
+    pub points: u64,
+}
--- /dev/null
+++ b/crates/rehearsal/src/understudy.rs
@@ -0,0 +1,132 @@
+//! A stand-in back end: registers, beats, runs, seals, and sends on its own account (design 9.5).
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub name: String,
+    pub service: String,
+    pub zone: String,
+    pub slots: u32,
+    pub usher: String,
+    pub listen: String,
+    pub history: std::path::PathBuf,
+    pub work_us: u64,
+    /// Out of a thousand replies, how many are spoilt in some way.
+    pub spoil: u32,
+    pub seed: u64,
+    /// Requests per second, and what they are.
+    pub rate: f64,
+    pub sends: Vec<crate::deployment::Sending>,
+}
+
+pub struct Backstage {
+    pub part: Part,
+    pub life: std::sync::atomic::AtomicU64,
+    pub runs: std::sync::atomic::AtomicU64,
+    pub book: std::sync::Mutex<std::fs::File>,
+}
+
+impl Backstage {
+    /// One unbuffered write: what is written stays though the process is killed.
+    pub fn note(&self, record: &crate::history::Record) {
+        let line = serde_json::to_string(record).unwrap_or_default() + "\n";
+        if let Ok(mut book) = self.book.lock() {
+            std::io::Write::write_all(&mut *book, line.as_bytes()).unwrap_or_default();
+        }
+    }
+}
+
+struct Stage(std::sync::Arc<Backstage>);
+
+#[salvo::handler]
+impl Stage {
+    async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
+        let backstage = &self.0;
+        let header = |name: &str| lobby::header(request, name).unwrap_or_default();
+        let number = backstage.runs.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let life = backstage.life.load(std::sync::atomic::Ordering::Relaxed);
+        let run = format!("{}-{life}-{number}", backstage.part.name);
+        let try_id = header(greenroom::TRY);
+        backstage.note(&crate::history::Record::Began {
+            run: run.clone(),
+            try_id: try_id.clone(),
+            at: playbill::now(),
+            by: backstage.part.name.clone(),
+            life,
+            service: backstage.part.service.clone(),
+            meant_for: header(greenroom::SERVICE),
+            sender: header(greenroom::SENDER),
+            path: request.uri().path().to_string(),
+            key: lobby::header(request, greenroom::KEY),
+        });
+        tokio::time::sleep(std::time::Duration::from_micros(backstage.part.work_us)).await;
+        backstage.note(&crate::history::Record::Ended { run: run.clone(), at: playbill::now() });
+        let body = serde_json::json!({ "try": try_id, "run": run, "service": backstage.part.service }).to_string().into_bytes();
+        let seal = greenroom::seal::seal(&try_id, 200, &body);
+        // A spoilt reply ran all the same: half a body, no seal, or another's seal.
+        let spoilt = rand::random::<u32>() % 1_000 < backstage.part.spoil;
+        let (body, seal) = match (spoilt, number % 3) {
+            (true, 0) => (body[..body.len() / 2].to_vec(), seal),
+            (true, 1) => (body, String::new()),
+            (true, _) => (body, greenroom::seal::seal("another", 200, b"")),
+            (false, _) => (body, seal),
+        };
+        if let Ok(seal) = salvo::http::HeaderValue::from_str(&seal) {
+            response.headers_mut().insert(greenroom::SEAL, seal);
+        }
+        response.write_body(body).unwrap_or_default();
+    }
+}
+
+pub async fn run(part: Part) -> Result<(), String> {
+    let told = |error: &dyn std::fmt::Display| error.to_string();
+    let book = std::fs::OpenOptions::new().create(true).append(true).open(&part.history).map_err(|error| told(&error))?;
+    let backstage = std::sync::Arc::new(Backstage { part, life: Default::default(), runs: Default::default(), book: std::sync::Mutex::new(book) });
+    let router = salvo::Router::with_path("{**rest}").goal(Stage(backstage.clone()));
+    let serving = lobby::Serving::start(&backstage.part.listen, router).await.map_err(|error| told(&error))?;
+    let address = serving.address.to_string();
+    let http = reqwest::Client::builder().no_proxy().timeout(std::time::Duration::from_secs(10)).build().map_err(|error| told(&error))?;
+    let (secrets, secret) = tokio::sync::watch::channel(String::new());
+    let beating = tokio::spawn(beat(backstage.clone(), http.clone(), address, secrets));
+    let sending = tokio::spawn(crate::audience::send(backstage.clone(), http.clone(), secret.clone()));
+    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| told(&error))?;
+    stop.recv().await;
+    // A planned end: no more sending, drain, let runs end, sign off.
+    sending.abort();
+    let usher = &backstage.part.usher;
+    let say = |path: &str| http.post(format!("http://{usher}/back-end/{path}")).bearer_auth(secret.borrow().clone()).send();
+    backstage.note(&crate::history::Record::Leaving { by: backstage.part.name.clone(), at: playbill::now() });
+    drop(say("drain").await);
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    drop(say("sign-off").await);
+    beating.abort();
+    serving.stop(std::time::Duration::from_secs(3)).await;
+    Ok(())
+}
+
+/// Registers until it is taken, beats until it is told to register again.
+async fn beat(backstage: std::sync::Arc<Backstage>, http: reqwest::Client, address: String, secrets: tokio::sync::watch::Sender<String>) {
+    let part = &backstage.part;
+    let usher = format!("http://{}/back-end", part.usher);
+    loop {
+        let ask = serde_json::json!({ "name": part.name, "service": part.service, "zone": part.zone, "slots": part.slots, "address": address });
+        let answer: Option<serde_json::Value> = match http.post(format!("{usher}/register")).json(&ask).send().await {
+            Ok(response) if response.status().is_success() => response.json().await.ok(),
+            _ => None,
+        };
+        if let Some(answer) = answer {
+            let secret = answer["secret"].as_str().unwrap_or_default().to_string();
+            backstage.life.store(answer["incarnation"].as_u64().unwrap_or(0), std::sync::atomic::Ordering::Relaxed);
+            secrets.send_replace(secret.clone());
+            let pause = std::time::Duration::from_micros(answer["beat_every_us"].as_u64().unwrap_or(300_000));
+            let beat = serde_json::json!({ "service": part.service, "zone": part.zone, "slots": part.slots, "state": "serving", "keys": [] });
+            loop {
+                tokio::time::sleep(pause).await;
+                let beaten = http.post(format!("{usher}/beat")).bearer_auth(&secret).json(&beat).send().await;
+                if !beaten.is_ok_and(|response| response.status().is_success()) {
+                    break;
+                }
+            }
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/path.rs
@@ -0,0 +1,19 @@
+//! The whole path in separate processes: discovery, one change, requests, a kill of each kind (design 9.5).
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Runtime::new().expect("a runtime")
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("gradeford-{name}-{}", std::process::id()))
+}
+
+#[test]
+fn a_small_site_serves_through_kills_and_keeps_every_promise() {
+    let folder = folder("small");
+    let plan = rehearsal::run::Plan { site: "small".into(), seconds: 6, seed: 1, spoil: 50, folder: folder.clone() };
+    let report = runtime().block_on(rehearsal::run::run(plan)).expect("the rehearsal runs");
+    assert!(report.held(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+    std::fs::remove_dir_all(folder).expect("clean");
+}
--- /dev/null
+++ b/crates/repertory/src/resync.rs
@@ -0,0 +1,85 @@
+//! A channel's first words. Implicit skips are sound only on an unbroken channel, so each new
+//! one starts by sending again whatever the mate may have missed (paper 4.5; design 3.5).
+
+use crate::words::*;
+
+pub(crate) const RUN_LIMIT: usize = 512;
+
+impl crate::Repertory {
+    pub(crate) fn opened(&mut self, mate: Seat) {
+        self.mates[mate as usize].open = true;
+        self.shares[mate as usize].cursor = None;
+        self.hear(mate);
+        let know = self.shares[mate as usize].first_unknown(self.owned_from(mate, self.floor), self.seats);
+        let applied = self.applied;
+        self.send(mate, Message::Hello { know, applied });
+    }
+
+    pub(crate) fn closed(&mut self, mate: Seat) {
+        self.mates[mate as usize].open = false;
+        self.shares[mate as usize].cursor = None;
+        self.draft_frames.retain(|(to, _)| *to != mate);
+        if let Some((_, frames)) = self.syncing.as_mut() {
+            frames.retain(|(to, _)| *to != mate);
+        }
+    }
+
+    pub(crate) fn on_hello(&mut self, from: Seat, know: Instance, applied: Instance) {
+        self.mates[from as usize].applied = applied;
+        if applied < self.applied {
+            self.send_run(from, applied);
+        }
+        let start = know.max(self.floor);
+        self.send_at(from, start, Message::Resync { from: start });
+        let spoken: Vec<(Instance, Value)> = self.shares[self.seat as usize].accepted.range(start..).map(|(at, (_, value))| (*at, value.clone())).collect();
+        spoken.into_iter().for_each(|(instance, value)| {
+            match self.shares[self.seat as usize].outcome(instance).map(|outcome| outcome.is_some()) {
+                Some(true) => {
+                    let block = (instance, instance + 1);
+                    let commands = vec![(instance, value)];
+                    self.send_at(from, instance, Message::Chosen { owner: self.seat, block, commands })
+                }
+                // A lost suggestion is a no-op like the unused instances around it.
+                Some(false) => {}
+                None => self.send_at(from, instance + self.seats, Message::Suggest { instance, value }),
+            }
+        });
+        self.send(from, Message::Skip);
+    }
+
+    pub(crate) fn on_resync(&mut self, from: Seat, start: Instance) {
+        let know = self.shares[from as usize].first_unknown(self.owned_from(from, self.floor), self.seats);
+        // A mate that cut its log above what is known here has sent its snapshot before this.
+        if start <= know {
+            self.shares[from as usize].cursor = Some(start);
+        }
+    }
+
+    /// All outcomes from `start` on, as far as they are known without a gap.
+    pub(crate) fn send_run(&mut self, to: Seat, start: Instance) {
+        if to == self.seat {
+            return;
+        }
+        if let Some((through, state)) = self.snapshot.clone().filter(|_| start < self.floor) {
+            self.send(to, Message::Snapshot { through, state });
+        }
+        let start = start.max(self.floor);
+        let end = self.applied.max(start);
+        let mut commands: Commands = self.shares.iter().flat_map(|share| share.commands_in((start, end))).collect();
+        commands.sort_by_key(|(at, _)| *at);
+        let cut = commands.get(RUN_LIMIT).map(|(at, _)| *at).unwrap_or(end);
+        commands.truncate(RUN_LIMIT);
+        if start < cut {
+            self.send(to, Message::Run { block: (start, cut), commands });
+        }
+        // Beyond the gap, each owner's known stretch may still be what the asker lacks.
+        self.everyone().into_iter().for_each(|owner| {
+            let from = self.owned_from(owner, end);
+            let known = self.shares[owner as usize].first_unknown(from, self.seats);
+            if from < known && cut == end {
+                let commands = self.shares[owner as usize].commands_in((from, known));
+                self.send(to, Message::Chosen { owner, block: (from, known), commands });
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/stage/src/budget.rs
@@ -0,0 +1,104 @@
+//! Extra dispatches: one in five of the last ten seconds' requests, and a small allowance (design 5.6).
+
+pub const WINDOW: playbill::Micros = 10_000_000;
+
+#[derive(Default)]
+struct Book {
+    firsts: std::collections::VecDeque<playbill::Micros>,
+    extras: std::collections::VecDeque<playbill::Micros>,
+}
+
+/// Pure: one book per service.
+#[derive(Default)]
+pub struct Budget {
+    allowance: usize,
+    books: std::collections::HashMap<String, Book>,
+}
+
+impl Budget {
+    pub fn new(allowance: usize) -> Self {
+        Budget { allowance, books: Default::default() }
+    }
+
+    fn book(&mut self, now: playbill::Micros, service: &str) -> &mut Book {
+        let book = self.books.entry(service.to_string()).or_default();
+        [&mut book.firsts, &mut book.extras].into_iter().for_each(|times| {
+            while times.front().is_some_and(|time| time + WINDOW <= now) {
+                times.pop_front();
+            }
+        });
+        book
+    }
+
+    pub fn first(&mut self, now: playbill::Micros, service: &str) {
+        self.book(now, service).firsts.push_back(now);
+    }
+
+    /// Takes one extra dispatch if the window has room.
+    pub fn extra(&mut self, now: playbill::Micros, service: &str) -> bool {
+        let allowance = self.allowance;
+        let book = self.book(now, service);
+        let fits = book.extras.len() < book.firsts.len() / 5 + allowance;
+        if fits {
+            book.extras.push_back(now);
+        }
+        fits
+    }
+}
+
+pub enum Command {
+    First(String),
+    Extra(String, tokio::sync::oneshot::Sender<bool>),
+}
+
+#[derive(Clone)]
+pub struct BudgetDesk(tokio::sync::mpsc::Sender<Command>);
+
+impl BudgetDesk {
+    pub fn start(allowance: usize) -> Self {
+        let (sender, mut commands) = tokio::sync::mpsc::channel(1_024);
+        tokio::spawn(async move {
+            let mut budget = Budget::new(allowance);
+            while let Some(command) = commands.recv().await {
+                match command {
+                    Command::First(service) => budget.first(playbill::now(), &service),
+                    Command::Extra(service, answer) => drop(answer.send(budget.extra(playbill::now(), &service)).is_ok()),
+                }
+            }
+        });
+        BudgetDesk(sender)
+    }
+
+    pub async fn first(&self, service: &str) {
+        self.0.send(Command::First(service.to_string())).await.unwrap_or_default();
+    }
+
+    pub async fn extra(&self, service: &str) -> bool {
+        let (answer, granted) = tokio::sync::oneshot::channel();
+        self.0.send(Command::Extra(service.to_string(), answer)).await.unwrap_or_default();
+        granted.await.unwrap_or(false)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn no_ten_seconds_hold_more_extras_than_their_requests_allow() {
+        bolero::check!().with_iterations(300).with_type::<Vec<(u16, bool)>>().for_each(|steps| {
+            let mut budget = super::Budget::new(2);
+            let (mut now, mut firsts, mut extras) = (0u64, Vec::new(), Vec::new());
+            steps.iter().for_each(|(gap, first)| {
+                now += *gap as u64 * 100;
+                if *first {
+                    budget.first(now, "seat");
+                    firsts.push(now);
+                } else if budget.extra(now, "seat") {
+                    extras.push(now);
+                    let inside = |times: &[u64]| times.iter().filter(|time| **time + super::WINDOW > now).count();
+                    assert!(inside(&extras) <= inside(&firsts) / 5 + 2);
+                }
+            });
+            assert!(budget.extra(now, "seat-other"), "services do not share");
+        });
+    }
+}
--- /dev/null
+++ b/crates/usher/src/main.rs
@@ -0,0 +1,65 @@
+//! A node beside back ends: serves them and their senders (docs/operators/running.md).
+
+mod env;
+mod health;
+mod node;
+
+const HELP: &str = "\
+usher: a gradeford node beside back ends
+
+usage: usher [--config FILE] [--SETTING VALUE ...] [--check]
+
+  --config FILE   settings as TOML; a flag of the same name goes first
+  --check         read and check the settings, then stop
+  --help          this page
+  --version       name and version
+
+settings: name, zone, mates_address, advertised_address, local_address, seeds, beat_every_us,
+  beat_patience_us, freshness_us, ask_every_us, guard_us, extra_allowance, stop_patience_us, log_level
+SIGTERM stops it once all that was passed on has ended, SIGHUP reads the settings again.
+exit codes: 0 stopped as asked, 1 failed, 2 settings or flags at fault
+";
+
+fn main() {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        return print!("{HELP}");
+    }
+    if arguments.contains("--version") {
+        return println!("usher {}", env!("CARGO_PKG_VERSION"));
+    }
+    let settings = playbill::env::flags(arguments, env::NAMES).and_then(|flags| playbill::env::load::<env::Env>(&flags).map(|env| (flags, env)));
+    let (flags, env) = settings.unwrap_or_else(|faults| {
+        playbill::env::tell("usher", &faults);
+        std::process::exit(playbill::env::EXIT_USAGE)
+    });
+    if flags.check {
+        return println!("usher: the settings are fine");
+    }
+    let runtime = tokio::runtime::Runtime::new();
+    let ended = runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run(flags, env)));
+    if let Err(trouble) = ended {
+        eprintln!("usher: {trouble}");
+        std::process::exit(1);
+    }
+}
+
+async fn run(flags: playbill::env::Flags, env: env::Env) -> Result<(), String> {
+    let (logger, _guard) = playbill::log::start("usher", &env.name, env.level());
+    let node = node::Node::start(&env, &logger).await?;
+    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut reload = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).map_err(|error| error.to_string())?;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => match playbill::env::load::<env::Env>(&flags) {
+                Ok(fresh) => slog::info!(logger, "settings read again"; "restart_needed" => fresh != env),
+                Err(faults) => slog::error!(logger, "settings at fault, the old ones stay"; "faults" => ?faults),
+            },
+        }
+    }
+    slog::info!(logger, "stopping");
+    node.stop(&env).await;
+    slog::info!(logger, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/usher/src/node.rs
@@ -0,0 +1,116 @@
+//! Puts the parts of a node together, and takes them down in order.
+
+pub struct Node {
+    near: stage::Near,
+    house: stage::HouseDesk,
+    reports: gallery::Reports,
+    serving: lobby::Serving,
+    staying: std::sync::Arc<std::sync::atomic::AtomicBool>,
+    name: String,
+    life: u64,
+}
+
+impl Node {
+    pub async fn start(env: &crate::env::Env, logger: &slog::Logger) -> Result<Node, String> {
+        let told = |what: &str, error: &dyn std::fmt::Display| format!("{what}: {error}");
+        let life = playbill::clock::wall();
+        let listener = tokio::net::TcpListener::bind(&env.mates_address).await.map_err(|error| told("mates_address", &error))?;
+        let listening = listener.local_addr().map_err(|error| told("mates_address", &error))?.to_string();
+        let address = env.advertised_address.clone().unwrap_or(listening);
+        let known = gallery::acquaint::nobody();
+        let (services, wanted) = tokio::sync::watch::channel(Default::default());
+        let line = gallery::SubscriptionEnv {
+            name: env.name.clone(),
+            zone: env.zone.clone(),
+            address: address.clone(),
+            life,
+            bound: env.freshness_us,
+            ask_every: env.ask_every_us,
+            patience: env.freshness_us / 2,
+        };
+        let subscription = gallery::subscription::start(line, known.clone(), wanted, logger.clone());
+        let house_env = stage::HouseEnv {
+            node: env.name.clone(),
+            zone: env.zone.clone(),
+            beat_patience: env.beat_patience_us,
+            bound: env.freshness_us,
+            guard: env.guard_us,
+        };
+        let (view, reports) = (subscription.view, subscription.reports);
+        let house = stage::HouseDesk::start(house_env, view.clone(), subscription.moved, reports.clone(), services, logger.clone());
+        let door = greenroom::Door::new().map_err(|error| told("http", &error))?;
+        let far = stage::Far { house: house.clone(), door: std::sync::Arc::new(door), logger: logger.clone() };
+        let (name, zone) = (env.name.clone(), env.zone.clone());
+        let (greeter, place) = (known.clone(), address.clone());
+        let greeting = move |purpose| wings::Greeting {
+            purpose,
+            name: name.clone(),
+            zone: zone.clone(),
+            address: place.clone(),
+            incarnation: life,
+            core: None,
+            known: gallery::acquaint::list(&greeter),
+        };
+        let (answer, ask, call) = (greeting.clone(), greeting.clone(), greeting);
+        tokio::spawn(stage::server::listen(listener, move || answer(wings::Purpose::Call), known.clone(), far.clone(), view.clone()));
+        // A node does not know how many seats there are; the first that greets it says so.
+        tokio::spawn(gallery::acquaint::run(known.clone(), env.seeds.clone(), move || ask(wings::Purpose::Acquaint), || 3));
+        let near = stage::Near {
+            node: env.name.clone(),
+            zone: env.zone.clone(),
+            view: view.clone(),
+            far,
+            mates: stage::mates::Mates::start(move || call(wings::Purpose::Call)),
+            picker: stage::picker::PickerDesk::start(),
+            budget: stage::budget::BudgetDesk::start(env.extra_allowance),
+            tries: stage::tries::TryDesk::start(),
+            calls: Default::default(),
+        };
+        let staying = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+        let health = crate::health::Health { name: env.name.clone(), view: view.clone(), known, house: house.clone(), staying: staying.clone() };
+        let rooms = greenroom::GreenroomEnv {
+            node: env.name.clone(),
+            zone: env.zone.clone(),
+            beat_every: env.beat_every_us,
+            bound: env.freshness_us,
+            house: house.clone(),
+            reports: reports.clone(),
+            view: view.clone(),
+        };
+        let router = salvo::Router::new().push(crate::health::router(health)).push(foyer::router(near.clone(), house.clone())).push(greenroom::router(rooms));
+        let serving = lobby::Serving::start(&env.local_address, router).await.map_err(|error| told("local_address", &error))?;
+        slog::info!(logger, "listening"; "mates" => &address, "local" => serving.address.to_string(), "life" => life);
+        tokio::spawn(present(env.name.clone(), env.zone.clone(), address, life, view, reports.clone()));
+        Ok(Node { near, house, reports, serving, staying, name: env.name.clone(), life })
+    }
+
+    /// Takes nothing new, lets what was passed on end, says goodbye.
+    pub async fn stop(self, env: &crate::env::Env) {
+        self.staying.store(false, std::sync::atomic::Ordering::Relaxed);
+        self.near.leave();
+        self.house.leave().await;
+        let patience = std::time::Duration::from_micros(env.stop_patience_us);
+        let ended = async {
+            while self.house.load().await.0 + self.near.under_way() > 0 {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(patience, ended).await.unwrap_or_default();
+        let farewell = self.reports.tell(playbill::standing::Report::NodeLeft { node: self.name.clone(), incarnation: self.life });
+        tokio::time::timeout(std::time::Duration::from_secs(2), farewell).await.unwrap_or_default();
+        self.serving.stop(std::time::Duration::from_secs(1)).await;
+    }
+}
+
+/// Tells the log that this node is here, and again whenever the log takes it for gone.
+async fn present(name: String, zone: String, address: String, life: u64, view: gallery::view::SharedView, reports: gallery::Reports) {
+    loop {
+        let held = view.load();
+        let stands = held.slice.nodes.get(&name).is_some_and(|node| node.present && node.incarnation == life);
+        if !stands {
+            let report = playbill::standing::Report::Node { node: name.clone(), zone: zone.clone(), address: address.clone(), incarnation: life };
+            reports.tell(report).await;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    }
+}
--- /dev/null
+++ b/crates/vault/src/identity.rs
@@ -0,0 +1,10 @@
+//! Who this disk is, and which disks it has met in the other seats (design 4.1).
+
+/// A new disk draws a number; the same seat on another disk is another identity.
+pub type Identity = u64;
+pub type Pins = std::collections::BTreeMap<u16, Identity>;
+
+pub(crate) fn draw() -> Identity {
+    // Zero is the coordinators' own round and never an identity.
+    rand::random::<u64>().max(1)
+}
--- /dev/null
+++ b/crates/vault/src/shelf.rs
@@ -0,0 +1,128 @@
+//! The file itself. Every commit is synced before it is reported (design 3.3).
+
+use redb::ReadableTable as _;
+
+const META: redb::TableDefinition<&str, u64> = redb::TableDefinition::new("meta");
+const PINS: redb::TableDefinition<u16, u64> = redb::TableDefinition::new("pins");
+const JOURNAL: redb::TableDefinition<u64, &[u8]> = redb::TableDefinition::new("journal");
+
+pub struct Shelf {
+    store: redb::Database,
+    next: u64,
+    pub identity: crate::Identity,
+    pub pins: crate::Pins,
+}
+
+fn store<E: Into<redb::Error>>(error: E) -> crate::Trouble {
+    crate::Trouble::Store(error.into())
+}
+
+impl Shelf {
+    /// Opens the file in `folder`, or makes it with a new identity, and reads the journal back.
+    pub fn open(folder: &std::path::Path) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+        std::fs::create_dir_all(folder)?;
+        let store_file = redb::Database::create(folder.join("core.redb")).map_err(store)?;
+        Shelf::load(store_file)
+    }
+
+    /// Over any storage: the fault tests bring their own (design 9.4).
+    pub fn open_on(backend: impl redb::StorageBackend) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+        Shelf::load(redb::Builder::new().create_with_backend(backend).map_err(store)?)
+    }
+
+    fn load(database: redb::Database) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+        let change = database.begin_write().map_err(store)?;
+        let (identity, pins, raw) = {
+            let mut meta = change.open_table(META).map_err(store)?;
+            let found = meta.get("layout").map_err(store)?.map(|held| held.value());
+            match found {
+                Some(crate::LAYOUT) => {}
+                Some(found) => return Err(crate::Trouble::Layout { found }),
+                None => {
+                    meta.insert("layout", crate::LAYOUT).map_err(store)?;
+                    meta.insert("identity", crate::identity::draw()).map_err(store)?;
+                }
+            }
+            let identity = meta.get("identity").map_err(store)?.map(|held| held.value()).unwrap_or_default();
+            let pins = change.open_table(PINS).map_err(store)?;
+            let pins = pins
+                .iter()
+                .map_err(store)?
+                .map(|row| row.map(|(seat, identity)| (seat.value(), identity.value())).map_err(store))
+                .collect::<Result<crate::Pins, _>>()?;
+            let journal = change.open_table(JOURNAL).map_err(store)?;
+            let raw = journal
+                .iter()
+                .map_err(store)?
+                .map(|row| row.map(|(at, bytes)| (at.value(), bytes.value().to_vec())).map_err(store))
+                .collect::<Result<Vec<(u64, Vec<u8>)>, _>>()?;
+            (identity, pins, raw)
+        };
+        change.commit().map_err(store)?;
+        let next = raw.last().map(|(at, _)| at + 1).unwrap_or(0);
+        let writes =
+            raw.into_iter().map(|(at, bytes)| decode(&bytes).ok_or(crate::Trouble::Damaged { at })).collect::<Result<Vec<Vec<repertory::Write>>, _>>()?;
+        Ok((Shelf { store: database, next, identity, pins }, writes.into_iter().flatten().collect()))
+    }
+
+    /// One transaction, one sync. `afresh` replaces all that was kept.
+    pub fn append(&mut self, writes: Vec<repertory::Write>, afresh: bool) -> Result<(), crate::Trouble> {
+        let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(&writes).map(|bytes| bytes.to_vec()).unwrap_or_default();
+        let change = self.store.begin_write().map_err(store)?;
+        {
+            let mut journal = change.open_table(JOURNAL).map_err(store)?;
+            if afresh {
+                journal.retain(|_, _| false).map_err(store)?;
+            }
+            journal.insert(self.next, bytes.as_slice()).map_err(store)?;
+        }
+        change.commit().map_err(store)?;
+        self.next += 1;
+        Ok(())
+    }
+
+    /// Binds a seat to the disk first met in it. Answers the identity held afterwards.
+    pub fn pin(&mut self, seat: u16, identity: crate::Identity) -> Result<crate::Identity, crate::Trouble> {
+        if let Some(held) = self.pins.get(&seat) {
+            return Ok(*held);
+        }
+        let change = self.store.begin_write().map_err(store)?;
+        change.open_table(PINS).map_err(store)?.insert(seat, identity).map_err(store)?;
+        change.commit().map_err(store)?;
+        self.pins.insert(seat, identity);
+        Ok(identity)
+    }
+}
+
+fn decode(bytes: &[u8]) -> Option<Vec<repertory::Write>> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<Vec<repertory::Write>, rkyv::rancor::Error>(&aligned).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use repertory::{Round, Write};
+
+    #[test]
+    fn a_reopened_shelf_keeps_identity_pins_and_order() {
+        let folder = std::env::temp_dir().join(format!("gradeford-vault-{}", std::process::id()));
+        let writes = vec![Write::Index(7), Write::Accept { instance: 2, round: Round::FIRST, value: vec![1, 2] }];
+        let identity = {
+            let (mut shelf, found) = super::Shelf::open(&folder).expect("a new shelf");
+            assert!(found.is_empty());
+            shelf.append(writes.clone(), false).expect("append");
+            shelf.append(vec![Write::Counter(3)], false).expect("append");
+            assert_eq!(shelf.pin(1, 11).expect("pin"), 11);
+            assert_eq!(shelf.pin(1, 12).expect("pin"), 11, "a seat stays with the disk first met");
+            shelf.identity
+        };
+        let (mut shelf, found) = super::Shelf::open(&folder).expect("the same shelf");
+        assert_eq!((shelf.identity, shelf.pins.get(&1)), (identity, Some(&11)));
+        assert_eq!(found, [writes, vec![Write::Counter(3)]].concat());
+        shelf.append(vec![Write::Index(9)], true).expect("afresh");
+        drop(shelf);
+        assert_eq!(super::Shelf::open(&folder).expect("again").1, vec![Write::Index(9)]);
+        std::fs::remove_dir_all(&folder).expect("clean");
+    }
+}
--- /dev/null
+++ b/crates/wings/src/frame.rs
@@ -0,0 +1,111 @@
+//! All that our processes say to each other (design 4.2).
+
+use playbill::{BackEndName, Incarnation, Micros, NodeName, Position, ServiceName, ZoneName};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Purpose {
+    /// Only to learn which core seats are known.
+    Acquaint,
+    /// Seat to seat, the ordering's channel.
+    Core,
+    /// A node to a core seat or to its home: news, proofs, forwarded entries.
+    Subscribe,
+    /// Usher to usher: requests.
+    Call,
+    /// Beats to a watcher.
+    Watch,
+    /// A look at what a node believes.
+    Look,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct CoreSeat {
+    pub seat: u16,
+    pub identity: u64,
+    pub address: String,
+    /// The later start is the better address.
+    pub started: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Greeting {
+    pub purpose: Purpose,
+    pub name: NodeName,
+    pub zone: ZoneName,
+    pub address: String,
+    pub incarnation: Incarnation,
+    /// Set by core seats only: seat, number of seats, disk identity.
+    pub core: Option<(u16, u16, u64)>,
+    pub known: Vec<CoreSeat>,
+}
+
+pub type Headers = Vec<(String, Vec<u8>)>;
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Dispatch {
+    pub number: u64,
+    pub try_id: String,
+    /// Counts the repeats of a try that may have run, on lanes that allow them.
+    pub ordinal: u32,
+    pub sender_service: ServiceName,
+    pub lane: String,
+    pub service: ServiceName,
+    pub back_end: BackEndName,
+    pub incarnation: Incarnation,
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub key: Option<String>,
+    pub fence: Option<Position>,
+    /// What is left of the sender's wait; the far side counts from receipt.
+    pub left: Micros,
+    pub importance: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub seal: String,
+}
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Frame {
+    Greeting(Greeting),
+    Refusal(String),
+    Known(Vec<CoreSeat>),
+    Core(repertory::Frame),
+    Forward {
+        number: u64,
+        entry: playbill::Entry,
+    },
+    Answer {
+        number: u64,
+        outcome: Option<playbill::Outcome>,
+    },
+    /// News begins once the teller's book has reached `held`.
+    Subscribe {
+        services: std::collections::BTreeSet<ServiceName>,
+        held: Position,
+    },
+    News(playbill::Slice),
+    Ask {
+        number: u64,
+    },
+    /// Asked after `number` was sent: everything accepted before is in `position`.
+    Proof {
+        number: u64,
+        position: Position,
+    },
+    Beat,
+    Dispatch(Dispatch),
+    Reply {
+        number: u64,
+        reply: Result<Reply, playbill::Trouble>,
+    },
+    Look,
+    Seen(Vec<u8>),
+}
--- /dev/null
+++ b/crates/wings/src/hail.rs
@@ -0,0 +1,57 @@
+//! The first words on a conn, from both sides (design 4.2).
+
+const PATIENCE: std::time::Duration = std::time::Duration::from_secs(1);
+
+async fn in_time<T>(work: impl Future<Output = Result<T, crate::Trouble>>) -> Result<T, crate::Trouble> {
+    tokio::time::timeout(PATIENCE, work).await.unwrap_or(Err(crate::Trouble::Slow))
+}
+
+fn halves(stream: tokio::net::TcpStream) -> std::io::Result<(crate::conn::Reader, crate::conn::Writer)> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    Ok((tokio::io::BufReader::with_capacity(64 * 1024, reader), writer))
+}
+
+/// Calls a mate and waits until it has greeted back.
+pub async fn dial(address: &str, own: crate::Greeting) -> Result<crate::Conn, crate::Trouble> {
+    in_time(async {
+        let (mut reader, mut writer) = halves(tokio::net::TcpStream::connect(address).await?)?;
+        crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
+        match crate::conn::read(&mut reader).await? {
+            crate::Frame::Greeting(greeting) => Ok(crate::conn::run(greeting, reader, writer)),
+            crate::Frame::Refusal(reason) => Err(crate::Trouble::Refused(reason)),
+            _ => Err(crate::Trouble::Garbled),
+        }
+    })
+    .await
+}
+
+/// Takes one caller. `judge` sees the greeting and answers with ours, or with why not.
+pub async fn accept<J, F>(stream: tokio::net::TcpStream, judge: J) -> Result<crate::Conn, crate::Trouble>
+where
+    J: FnOnce(crate::Greeting) -> F,
+    F: Future<Output = Result<crate::Greeting, String>>,
+{
+    in_time(async {
+        let (mut reader, mut writer) = halves(stream)?;
+        let greeting = match crate::conn::read(&mut reader).await {
+            Ok(crate::Frame::Greeting(greeting)) => greeting,
+            Ok(_) => return Err(crate::Trouble::Garbled),
+            Err(trouble) => {
+                crate::conn::write(&mut writer, &crate::Frame::Refusal(trouble.to_string())).await?;
+                return Err(trouble);
+            }
+        };
+        match judge(greeting.clone()).await {
+            Ok(own) => {
+                crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
+                Ok(crate::conn::run(greeting, reader, writer))
+            }
+            Err(reason) => {
+                crate::conn::write(&mut writer, &crate::Frame::Refusal(reason.clone())).await?;
+                Err(crate::Trouble::Refused(reason))
+            }
+        }
+    })
+    .await
+}
