News through homes, ring watchers, and counts of syncs, frames and bytes across zones

Cause: every node asked the core itself, and a dead usher could not report its own back ends.

Found on the way: a relay that read its view before the proof could call an old view proved, and a proof did not move a view's position, so a lagging home looked stuck.

--- a/crates/boxoffice/src/reading.rs
+++ b/crates/boxoffice/src/reading.rs
@@ -77,7 +77,7 @@
             "started": state.started, "identity": format!("{:016x}", state.identity), "met": state.met, "in_touch": state.in_touch,
             "applied": state.applied, "floor": state.floor, "suspects": state.suspects, "syncs": state.syncs, "frames": state.frames,
             "disk": state.disk, "refused": state.refused, "position": book.position, "version": book.desired.version,
-            "known": gallery::acquaint::list(&self.0.core.known),
+            "known": gallery::acquaint::list(&self.0.core.known), "traffic": wings::traffic::told(),
         });
         lobby::json(response, 200, &answer);
     }
--- a/crates/gallery/src/lib.rs
+++ b/crates/gallery/src/lib.rs
@@ -5,11 +5,17 @@
 pub mod core;
 mod core_link;
 mod core_owner;
+pub mod home;
 pub mod news;
+pub mod relay;
+pub mod reporting;
+pub mod ring;
 pub mod subscription;
 pub mod view;
+pub mod watching;
 
 pub use acquaint::Known;
 pub use core::{Core, CoreEnv, CoreState};
-pub use subscription::{Reports, Subscription, SubscriptionEnv};
+pub use reporting::{ReportingEnv, Reports};
+pub use subscription::{Subscription, SubscriptionEnv};
 pub use view::View;
--- /dev/null
+++ b/crates/gallery/src/relay.rs
@@ -0,0 +1,58 @@
+//! What a home tells the nodes of its zone: its own news, and proofs no older than their asking (design 5.9).
+
+#[derive(Clone)]
+pub struct Relay {
+    pub view: crate::view::SharedView,
+    /// When the latest proof from the core was asked; moves with every proof.
+    pub proved: tokio::sync::watch::Receiver<playbill::Micros>,
+    /// Asks the core now instead of at the next turn.
+    pub hurry: std::sync::Arc<tokio::sync::Notify>,
+    /// Only a node that hears the core itself may be a home: no chains, no rings.
+    pub direct: std::sync::Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Relay {
+    /// Serves one subscriber. Ends the conn when this node cannot be its home; it then asks the core.
+    pub async fn serve(&self, mut conn: wings::Conn, wanted: playbill::slice::Services, held: playbill::Position) {
+        let mut proved = self.proved.clone();
+        let mut last: Option<playbill::Slice> = None;
+        let mut asks: std::collections::VecDeque<(u64, playbill::Micros)> = Default::default();
+        loop {
+            // In this order: the view is stored before the proof that speaks of it.
+            let asked = *proved.borrow_and_update();
+            let view = self.view.load_full();
+            let fit = self.direct.load(std::sync::atomic::Ordering::Relaxed) && wanted.is_subset(&view.slice.services);
+            if !fit {
+                return;
+            }
+            if view.slice.position >= held {
+                let slice = view.slice.narrowed(&wanted);
+                if !last.as_ref().is_some_and(|last| last.says_the_same(&slice)) {
+                    last = Some(slice.clone());
+                    if conn.sender.send(wings::Frame::News(slice)).await.is_err() {
+                        return;
+                    }
+                }
+                let done: Vec<u64> = asks.iter().filter(|(_, at)| *at <= asked).map(|(number, _)| *number).collect();
+                asks.retain(|(number, _)| !done.contains(number));
+                // The latest of them speaks for all that were asked before it.
+                if let Some(number) = done.into_iter().max()
+                    && conn.sender.send(wings::Frame::Proof { number, position: view.slice.position }).await.is_err()
+                {
+                    return;
+                }
+            }
+            tokio::select! {
+                frame = conn.receiver.recv() => match frame {
+                    Some(wings::Frame::Ask { number }) => {
+                        asks.push_back((number, playbill::now()));
+                        self.hurry.notify_one();
+                    }
+                    Some(wings::Frame::Subscribe { .. }) | None => return,
+                    Some(_) => {}
+                },
+                moved = proved.changed() => if moved.is_err() { return },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gallery/src/ring.rs
@@ -0,0 +1,106 @@
+//! Who beats to whom, and who is missed (design 5.10). Pure, with the time told to it.
+
+use playbill::{Incarnation, Micros, NodeName, standing::Report};
+
+/// Each node beats to the next few on the ring of present nodes.
+pub const WATCHERS: usize = 3;
+
+type Nodes = std::collections::BTreeMap<NodeName, playbill::Node>;
+
+fn ring(nodes: &Nodes) -> Vec<&NodeName> {
+    let mut ring: Vec<&NodeName> = nodes.iter().filter(|(_, node)| node.present).map(|(name, _)| name).collect();
+    ring.sort_by_key(|name| (playbill::terms::hash(name), *name));
+    ring
+}
+
+/// The nodes next to `name` on the ring, in one direction or the other.
+fn beside<'a>(ring: impl DoubleEndedIterator<Item = &'a NodeName> + ExactSizeIterator + Clone, name: &str) -> Vec<NodeName> {
+    let others = ring.len().saturating_sub(1);
+    let Some(place) = ring.clone().position(|held| held == name) else { return Vec::new() };
+    ring.cycle().skip(place + 1).take(WATCHERS.min(others)).cloned().collect()
+}
+
+/// The nodes that `name` beats to.
+pub fn watchers(nodes: &Nodes, name: &str) -> Vec<NodeName> {
+    beside(ring(nodes).into_iter(), name)
+}
+
+/// The nodes that beat to `name`.
+pub fn wards(nodes: &Nodes, name: &str) -> Vec<(NodeName, Incarnation)> {
+    let named = beside(ring(nodes).into_iter().rev(), name).into_iter();
+    named.filter_map(|ward| nodes.get(&ward).map(|node| (ward.clone(), node.incarnation))).collect()
+}
+
+#[derive(Default)]
+pub struct Watch {
+    /// Ward and life to when it was last heard, and whether it was reported missing.
+    table: std::collections::BTreeMap<(NodeName, Incarnation), (Micros, bool)>,
+    ticked: Micros,
+}
+
+impl Watch {
+    pub fn heard(&mut self, now: Micros, node: &str, life: Incarnation) {
+        if let Some(held) = self.table.get_mut(&(node.to_string(), life)) {
+            held.0 = now;
+        }
+    }
+
+    pub fn tick(&mut self, now: Micros, nodes: &Nodes, name: &str, patience: Micros) -> Vec<Report> {
+        let paused = now.saturating_sub(std::mem::replace(&mut self.ticked, now)) > patience / 2;
+        let wards: std::collections::BTreeSet<_> = wards(nodes, name).into_iter().collect();
+        self.table.retain(|ward, _| wards.contains(ward));
+        wards.into_iter().for_each(|ward| {
+            self.table.entry(ward).or_insert((now, false));
+        });
+        if paused {
+            // It was this node that stood still.
+            self.table.values_mut().for_each(|held| held.0 = now);
+        }
+        self.table
+            .iter_mut()
+            .filter_map(|((node, incarnation), (heard, missing))| {
+                let missed = now > *heard + patience;
+                (missed != *missing).then(|| {
+                    *missing = missed;
+                    Report::Watch { watcher: name.to_string(), node: node.clone(), incarnation: *incarnation, missed }
+                })
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn nodes(count: u64) -> Nodes {
+        let node = |at| playbill::Node { zone: "z".into(), address: String::new(), incarnation: at, present: true, reporters: Default::default(), since: 0 };
+        (0..count).map(|at| (format!("n{at}"), node(at))).collect()
+    }
+
+    #[test]
+    fn every_node_has_watchers_and_no_node_watches_many() {
+        let nodes = nodes(64);
+        nodes.keys().for_each(|name| {
+            assert_eq!(watchers(&nodes, name).len(), WATCHERS);
+            let wards = wards(&nodes, name);
+            assert_eq!(wards.len(), WATCHERS);
+            assert!(wards.iter().all(|(ward, _)| watchers(&nodes, ward).contains(name)), "both sides name each other");
+        });
+    }
+
+    #[test]
+    fn silence_is_reported_once_and_taken_back_but_an_own_pause_blames_nobody() {
+        let nodes = nodes(2);
+        let mut watch = Watch::default();
+        let ticks =
+            |watch: &mut Watch, from: u64, to: u64| -> Vec<Report> { (from..to).step_by(100).flat_map(|now| watch.tick(now, &nodes, "n0", 1_000)).collect() };
+        assert_eq!(ticks(&mut watch, 0, 1_000), vec![]);
+        assert_eq!(ticks(&mut watch, 1_000, 3_000).len(), 1);
+        watch.heard(3_000, "n1", 1);
+        let back = ticks(&mut watch, 3_000, 3_500);
+        assert!(matches!(back.as_slice(), [Report::Watch { missed: false, .. }]), "{back:?}");
+        watch.heard(3_500, "n1", 1);
+        assert_eq!(watch.tick(9_000, &nodes, "n0", 1_000), vec![]);
+    }
+}
--- a/crates/gallery/src/subscription.rs
+++ b/crates/gallery/src/subscription.rs
@@ -1,150 +1,156 @@
-//! A node's side: one conn upstream for news, proofs and forwarded entries (design 5.2, 6.1).
+//! A node's side: one conn upstream, to its home or to a core seat, for news and proofs (design 5.9, 6.1).
 
 pub struct SubscriptionEnv {
     pub name: String,
     pub zone: String,
-    pub address: String,
-    pub life: playbill::Incarnation,
     pub bound: playbill::Micros,
     pub ask_every: playbill::Micros,
     pub patience: playbill::Micros,
-}
-
-type Asked = (playbill::standing::Report, tokio::sync::oneshot::Sender<playbill::Outcome>);
-
-/// Hands a report to the log and waits until it is answered, through whichever core seat.
-#[derive(Clone)]
-pub struct Reports(tokio::sync::mpsc::Sender<Asked>);
-
-impl Reports {
-    pub async fn tell(&self, report: playbill::standing::Report) -> Option<playbill::Outcome> {
-        let (answer, outcome) = tokio::sync::oneshot::channel();
-        self.0.send((report, answer)).await.ok()?;
-        outcome.await.ok()
-    }
+    /// Zones are heard through homes; without, every node asks the core itself.
+    pub homes: bool,
 }
 
 pub struct Subscription {
     pub view: crate::view::SharedView,
-    pub reports: Reports,
     pub moved: tokio::sync::watch::Receiver<playbill::Position>,
+    pub relay: crate::relay::Relay,
 }
 
-struct Line {
+struct Line<G> {
     env: SubscriptionEnv,
     known: crate::Known,
+    greeting: G,
     view: crate::view::SharedView,
     moved: tokio::sync::watch::Sender<playbill::Position>,
+    proved: tokio::sync::watch::Sender<playbill::Micros>,
     services: tokio::sync::watch::Receiver<playbill::slice::Services>,
-    reports: tokio::sync::mpsc::Receiver<Asked>,
-    /// The one entry under way; it keeps its sequence over every resend (design 2.3).
-    under_way: Option<(playbill::Entry, tokio::sync::oneshot::Sender<playbill::Outcome>)>,
-    sequence: u64,
+    hurry: std::sync::Arc<tokio::sync::Notify>,
+    direct: std::sync::Arc<std::sync::atomic::AtomicBool>,
     asks: std::collections::VecDeque<(u64, playbill::Micros)>,
     numbers: u64,
+    /// A home that failed is passed over for a while.
+    passed_over: Option<(String, playbill::Micros)>,
     logger: slog::Logger,
 }
 
-pub fn start(
+/// Asks that come in a hurry are gathered for so long.
+const GATHER: playbill::Micros = 20_000;
+const PASS_OVER: playbill::Micros = 3_000_000;
+
+pub fn start<G: Fn() -> wings::Greeting + Send + Sync + 'static>(
     env: SubscriptionEnv,
     known: crate::Known,
     services: tokio::sync::watch::Receiver<playbill::slice::Services>,
+    greeting: G,
     logger: slog::Logger,
 ) -> Subscription {
-    let (sender, reports) = tokio::sync::mpsc::channel(256);
     let (moved, watch) = tokio::sync::watch::channel(0);
+    let (proved, proofs) = tokio::sync::watch::channel(0);
     let view: crate::view::SharedView = Default::default();
-    let line = Line { env, known, view: view.clone(), moved, services, reports, under_way: None, sequence: 0, asks: Default::default(), numbers: 0, logger };
+    let relay = crate::relay::Relay { view: view.clone(), proved: proofs, hurry: Default::default(), direct: Default::default() };
+    let line = Line {
+        env,
+        known,
+        greeting,
+        view: view.clone(),
+        moved,
+        proved,
+        services,
+        hurry: relay.hurry.clone(),
+        direct: relay.direct.clone(),
+        asks: Default::default(),
+        numbers: 0,
+        passed_over: None,
+        logger,
+    };
     tokio::spawn(line.run());
-    Subscription { view, reports: Reports(sender), moved: watch }
+    Subscription { view, moved: watch, relay }
 }
 
-impl Line {
+impl<G: Fn() -> wings::Greeting + Send + Sync + 'static> Line<G> {
     async fn run(mut self) {
         // Nodes spread over the core by name, then go round when a seat does not answer.
-        let start = playbill::terms::slice_of(&self.env.name) as usize;
-        let mut turn = start;
+        let mut turn = playbill::terms::slice_of(&self.env.name) as usize;
         loop {
+            let home = self.home();
             let seats = crate::acquaint::list(&self.known);
-            let place = seats.get(turn % seats.len().max(1)).map(|seat| seat.address.clone());
-            turn += 1;
+            let place = home.clone().or_else(|| {
+                turn += 1;
+                seats.get(turn % seats.len().max(1)).map(|seat| seat.address.clone())
+            });
             if let Some(address) = place {
-                let greeting = self.greeting();
-                match wings::dial(&address, greeting).await {
+                match wings::dial(&address, (self.greeting)()).await {
                     Ok(conn) => {
                         crate::acquaint::merge(&self.known, conn.greeting.known.clone());
-                        slog::info!(self.logger, "subscribed"; "upstream" => &conn.greeting.name);
-                        self.attend(conn).await;
+                        slog::info!(self.logger, "subscribed"; "upstream" => &conn.greeting.name, "home" => home.is_some());
+                        self.direct.store(home.is_none(), std::sync::atomic::Ordering::Relaxed);
+                        self.attend(conn, home.clone()).await;
                     }
-                    Err(trouble) => slog::debug!(self.logger, "dial"; "address" => address, "trouble" => %trouble),
+                    Err(trouble) => slog::debug!(self.logger, "dial"; "address" => &address, "trouble" => %trouble),
                 }
             }
+            if home.is_some() && home == self.home() {
+                self.passed_over = home.map(|home| (home, playbill::now() + PASS_OVER));
+            }
             tokio::time::sleep(std::time::Duration::from_millis(20 + rand::random::<u64>() % 30)).await;
         }
     }
 
-    fn greeting(&self) -> wings::Greeting {
-        wings::Greeting {
-            purpose: wings::Purpose::Subscribe,
-            name: self.env.name.clone(),
-            zone: self.env.zone.clone(),
-            address: self.env.address.clone(),
-            incarnation: self.env.life,
-            core: None,
-            known: crate::acquaint::list(&self.known),
-        }
+    /// The home's address; none when this node is the home, or there is none to trust.
+    fn home(&self) -> Option<String> {
+        let view = self.view.load();
+        let (name, address) = crate::home::home(&view.slice, &self.env.zone, &self.services.borrow())?;
+        let passed_over = self.passed_over.as_ref().is_some_and(|(held, until)| *held == address && playbill::now() < *until);
+        (self.env.homes && name != self.env.name && !passed_over).then_some(address)
     }
 
-    async fn attend(&mut self, mut conn: wings::Conn) {
+    async fn attend(&mut self, mut conn: wings::Conn, home: Option<String>) {
         self.asks.clear();
+        let began = playbill::now();
         let mut fine = self.subscribe(&conn.sender).await;
-        fine &= self.forward(&conn.sender).await;
-        let mut proved = playbill::now();
+        let mut proved = began;
+        let hurry = self.hurry.clone();
         let mut every = tokio::time::interval(std::time::Duration::from_micros(self.env.ask_every));
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         while fine {
             fine = tokio::select! {
                 frame = conn.receiver.recv() => match frame {
-                    Some(frame) => self.take(frame, &mut proved, &conn.sender).await,
+                    Some(frame) => {
+                        self.take(frame, &mut proved);
+                        true
+                    }
                     None => false,
                 },
                 _ = every.tick() => {
-                    self.numbers += 1;
-                    self.asks.push_back((self.numbers, playbill::now()));
-                    let asked = conn.sender.try_send(wings::Frame::Ask { number: self.numbers }).is_ok();
                     // An upstream that proves nothing is left for another in good time.
-                    asked && playbill::now() < proved + self.env.patience
+                    let trusted = playbill::now() < proved + self.env.patience;
+                    // Duties move: a new home is followed, and so is the end of one's own.
+                    let settled = playbill::now() < began + GATHER || home == self.home();
+                    self.ask(&conn.sender) && trusted && settled
                 }
-                changed = self.services.changed() => changed.is_ok() && self.subscribe(&conn.sender).await,
-                asked = self.reports.recv(), if self.under_way.is_none() => match asked {
-                    Some((report, answer)) => {
-                        self.sequence += 1;
-                        let (origin, life, sequence) = (self.env.name.clone(), self.env.life, self.sequence);
-                        let act = playbill::Act::Standing(report);
-                        self.under_way = Some((playbill::Entry { origin, life, sequence, act }, answer));
-                        self.forward(&conn.sender).await
-                    }
-                    None => false,
-                },
+                _ = hurry.notified() => {
+                    tokio::time::sleep(std::time::Duration::from_micros(GATHER)).await;
+                    self.ask(&conn.sender)
+                }
+                changed = self.services.changed() => changed.is_ok() && home.is_none() && self.subscribe(&conn.sender).await,
             };
         }
         slog::info!(self.logger, "upstream left"; "upstream" => &conn.greeting.name);
     }
 
+    fn ask(&mut self, sender: &wings::Sender) -> bool {
+        self.numbers += 1;
+        self.asks.push_back((self.numbers, playbill::now()));
+        sender.try_send(wings::Frame::Ask { number: self.numbers }).is_ok()
+    }
+
     async fn subscribe(&mut self, sender: &wings::Sender) -> bool {
         let services = self.services.borrow_and_update().clone();
         let held = self.view.load().slice.position;
         sender.send(wings::Frame::Subscribe { services, held }).await.is_ok()
     }
 
-    async fn forward(&mut self, sender: &wings::Sender) -> bool {
-        match &self.under_way {
-            Some((entry, _)) => sender.send(wings::Frame::Forward { number: entry.sequence, entry: entry.clone() }).await.is_ok(),
-            None => true,
-        }
-    }
-
-    async fn take(&mut self, frame: wings::Frame, proved: &mut playbill::Micros, sender: &wings::Sender) -> bool {
+    fn take(&mut self, frame: wings::Frame, proved: &mut playbill::Micros) {
         match frame {
             wings::Frame::News(slice) => {
                 if let Some(view) = self.view.load().with_news(slice) {
@@ -160,24 +166,11 @@
                 if let Some(view) = next {
                     self.view.store(std::sync::Arc::new(view));
                     self.moved.send_modify(|_| {});
+                    self.proved.send_replace(asked.unwrap_or(0));
                     *proved = playbill::now();
                 }
             }
-            wings::Frame::Answer { number, outcome } => {
-                let ours = self.under_way.as_ref().is_some_and(|(entry, _)| entry.sequence == number);
-                match (ours, outcome) {
-                    (true, Some(outcome)) => {
-                        if let Some((_, answer)) = self.under_way.take() {
-                            drop(answer.send(outcome));
-                        }
-                    }
-                    // Not known to be in the log: the same entry goes again, here or elsewhere.
-                    (true, None) => return self.forward(sender).await,
-                    (false, _) => {}
-                }
-            }
             _ => {}
         }
-        true
     }
 }
--- /dev/null
+++ b/crates/gallery/src/watching.rs
@@ -0,0 +1,72 @@
+//! Beats to this node's watchers, and the watch over its wards (design 5.10).
+
+pub struct WatchingEnv {
+    pub name: String,
+    pub beat_every: playbill::Micros,
+    pub patience: playbill::Micros,
+}
+
+/// Tells the watch that a ward was heard.
+pub type Heard = tokio::sync::mpsc::Sender<(String, playbill::Incarnation)>;
+
+pub fn start<G: Fn() -> wings::Greeting + Send + 'static>(env: WatchingEnv, view: crate::view::SharedView, reports: crate::Reports, greeting: G) -> Heard {
+    let (heard, mut hears) = tokio::sync::mpsc::channel::<(String, u64)>(1_024);
+    let (name, patience, watched) = (env.name.clone(), env.patience, view.clone());
+    let (outbox, mut outgoing) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let mut watch = crate::ring::Watch::default();
+        let mut every = tokio::time::interval(std::time::Duration::from_micros(patience / 10));
+        every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                heard = hears.recv() => match heard {
+                    Some((node, life)) => watch.heard(playbill::now(), &node, life),
+                    None => return,
+                },
+                _ = every.tick() => {
+                    let missed = watch.tick(playbill::now(), &watched.load().slice.nodes, &name, patience);
+                    missed.into_iter().for_each(|report| outbox.send(report).unwrap_or_default());
+                }
+            }
+        }
+    });
+    tokio::spawn(async move {
+        while let Some(report) = outgoing.recv().await {
+            reports.tell(report).await;
+        }
+    });
+    tokio::spawn(beat(env, view, greeting));
+    heard
+}
+
+async fn beat<G: Fn() -> wings::Greeting + Send + 'static>(env: WatchingEnv, view: crate::view::SharedView, greeting: G) {
+    let mut lines: std::collections::BTreeMap<String, tokio::task::JoinHandle<()>> = Default::default();
+    loop {
+        let slice = view.load().slice.clone();
+        let addresses: std::collections::BTreeSet<String> = crate::ring::watchers(&slice.nodes, &env.name)
+            .into_iter()
+            .filter_map(|watcher| slice.nodes.get(&watcher).map(|node| node.address.clone()))
+            .collect();
+        lines.retain(|address, line| {
+            let kept = addresses.contains(address) && !line.is_finished();
+            if !kept {
+                line.abort();
+            }
+            kept
+        });
+        addresses.into_iter().for_each(|address| {
+            let own = greeting();
+            let every = std::time::Duration::from_micros(env.beat_every);
+            lines.entry(address.clone()).or_insert_with(|| tokio::spawn(line(address, own, every)));
+        });
+        tokio::time::sleep(std::time::Duration::from_micros(env.beat_every)).await;
+    }
+}
+
+async fn line(address: String, own: wings::Greeting, every: std::time::Duration) {
+    if let Ok(conn) = wings::dial(&address, own).await {
+        while conn.sender.try_send(wings::Frame::Beat).is_ok() {
+            tokio::time::sleep(every).await;
+        }
+    }
+}
--- a/crates/playbill/src/slice.rs
+++ b/crates/playbill/src/slice.rs
@@ -21,23 +21,33 @@
 impl Slice {
     /// What ushers need that have back ends of `services` beside them.
     pub fn cut(book: &Book, services: &Services) -> Slice {
-        let orders: std::collections::BTreeMap<String, Order> = book
-            .desired
-            .orders
-            .iter()
-            .filter(|(_, order)| services.contains(&order.selector.service) || order.selector.from.iter().any(|from| services.contains(from)))
-            .map(|(name, order)| (name.clone(), order.clone()))
-            .collect();
-        let touched: Services = orders.values().map(|order| order.selector.service.clone()).chain(services.iter().cloned()).collect();
-        Slice {
+        let whole = Slice {
             services: services.clone(),
             position: book.position,
             version: book.desired.version,
-            groupings: keep(&book.desired.groupings, |grouping| touched.contains(&grouping.service)),
-            back_ends: keep(&book.standing.back_ends, |back_end| touched.contains(&back_end.service) && book.fits(back_end)),
+            groupings: book.desired.groupings.clone(),
+            orders: book.desired.orders.clone(),
+            back_ends: keep(&book.standing.back_ends, |back_end| book.fits(back_end)),
             nodes: book.standing.nodes.clone(),
-            terms: book.terms.iter().filter(|(service, _)| touched.contains(*service)).map(|(service, held)| (service.clone(), held.clone())).collect(),
-            longest: book.longest.iter().filter(|(service, _)| touched.contains(*service)).map(|(service, held)| (service.clone(), *held)).collect(),
+            terms: book.terms.clone(),
+            longest: book.longest.clone(),
+        };
+        whole.narrowed(services)
+    }
+
+    /// What a node with only these services beside it needs of this slice.
+    pub fn narrowed(&self, services: &Services) -> Slice {
+        let orders = keep(&self.orders, |order| touches(order, services));
+        let touched = touched(&orders, services);
+        Slice {
+            services: services.clone(),
+            position: self.position,
+            version: self.version,
+            groupings: keep(&self.groupings, |grouping| touched.contains(&grouping.service)),
+            back_ends: keep(&self.back_ends, |back_end| touched.contains(&back_end.service)),
+            nodes: self.nodes.clone(),
+            terms: within_services(&self.terms, &touched),
+            longest: within_services(&self.longest, &touched),
             orders,
         }
     }
@@ -73,6 +83,18 @@
     path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
+fn touches(order: &Order, services: &Services) -> bool {
+    services.contains(&order.selector.service) || order.selector.from.iter().any(|from| services.contains(from))
+}
+
+fn touched(orders: &std::collections::BTreeMap<String, Order>, services: &Services) -> Services {
+    orders.values().map(|order| order.selector.service.clone()).chain(services.iter().cloned()).collect()
+}
+
+fn within_services<V: Clone>(table: &std::collections::BTreeMap<ServiceName, V>, services: &Services) -> std::collections::BTreeMap<ServiceName, V> {
+    table.iter().filter(|(service, _)| services.contains(*service)).map(|(service, held)| (service.clone(), held.clone())).collect()
+}
+
 fn keep<V: Clone>(table: &std::collections::BTreeMap<String, V>, wanted: impl Fn(&V) -> bool) -> std::collections::BTreeMap<String, V> {
     table.iter().filter(|(_, held)| wanted(held)).map(|(name, held)| (name.clone(), held.clone())).collect()
 }
--- a/crates/playbill/src/terms.rs
+++ b/crates/playbill/src/terms.rs
@@ -23,8 +23,13 @@
 pub type Longest = std::collections::BTreeMap<ServiceName, Micros>;
 
 pub fn slice_of(key: &str) -> Slice {
-    let digest = <sha2::Sha256 as sha2::Digest>::digest(key.as_bytes());
-    (u16::from_be_bytes([digest[0], digest[1]])) % SLICES
+    (hash(key) % SLICES as u64) as Slice
+}
+
+/// The same on every node and in every version: duties and keys are cut by it.
+pub fn hash(text: &str) -> u64 {
+    let digest = <sha2::Sha256 as sha2::Digest>::digest(text.as_bytes());
+    digest.iter().take(8).fold(0, |hash, byte| hash << 8 | *byte as u64)
 }
 
 /// Balanced by slots, moving as little as possible: everyone keeps what fits its quota,
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -47,6 +47,7 @@
     pub not_run: usize,
     pub may_have_run: usize,
     pub causes: std::collections::BTreeMap<String, usize>,
+    pub figures: crate::figures::Figures,
     pub invariants: std::collections::BTreeMap<String, Vec<String>>,
 }
 
@@ -124,6 +125,9 @@
     );
     broken("one_holder_a_key", overlaps(records));
     broken("drained_gets_nothing_new", after_leaving(records));
+    let times: Vec<u64> = records.iter().filter_map(|record| if let Record::Told { at, .. } = record { Some(*at) } else { None }).collect();
+    let span = times.iter().max().zip(times.iter().min()).map(|(last, first)| last - first).unwrap_or(0).max(1);
+    report.figures.requests_per_second = times.len() as f64 * 1e6 / span as f64;
     report.asked = told(records).count();
     report.served = told(records).filter(|(_, verdict, ..)| verdict.is_none()).count();
     report.not_run = told(records).filter(|(_, verdict, ..)| *verdict == Some("not-run")).count();
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod audience;
 pub mod deployment;
+pub mod figures;
 pub mod fleet;
 pub mod history;
 pub mod process;
--- a/crates/stage/src/server.rs
+++ b/crates/stage/src/server.rs
@@ -5,12 +5,14 @@
     greeting: impl Fn() -> wings::Greeting + Send + Sync + 'static,
     known: gallery::Known,
     far: crate::Far,
-    view: gallery::view::SharedView,
+    relay: gallery::relay::Relay,
+    heard: gallery::watching::Heard,
 ) {
     let greeting = std::sync::Arc::new(greeting);
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            let (greeting, known, far, view) = (greeting.clone(), known.clone(), far.clone(), view.clone());
+            let (greeting, known, far) = (greeting.clone(), known.clone(), far.clone());
+            let (relay, heard) = (relay.clone(), heard.clone());
             tokio::spawn(async move {
                 let accepted = wings::accept(stream, |caller| async move {
                     gallery::acquaint::merge(&known, caller.known);
@@ -21,14 +23,14 @@
                 })
                 .await;
                 if let Ok(conn) = accepted {
-                    serve(conn, far, view).await;
+                    serve(conn, far, relay, heard).await;
                 }
             });
         }
     }
 }
 
-async fn serve(mut conn: wings::Conn, far: crate::Far, view: gallery::view::SharedView) {
+async fn serve(mut conn: wings::Conn, far: crate::Far, relay: gallery::relay::Relay, heard: gallery::watching::Heard) {
     while let Some(frame) = conn.receiver.recv().await {
         match frame {
             wings::Frame::Dispatch(dispatch) => {
@@ -40,9 +42,14 @@
                 });
             }
             wings::Frame::Look => {
-                let seen = serde_json::to_vec(&*view.load().slice).unwrap_or_default();
+                let seen = serde_json::to_vec(&*relay.view.load().slice).unwrap_or_default();
                 conn.sender.send(wings::Frame::Seen(seen)).await.unwrap_or_default();
             }
+            wings::Frame::Beat => {
+                let ward = (conn.greeting.name.clone(), conn.greeting.incarnation);
+                heard.send(ward).await.unwrap_or_default();
+            }
+            wings::Frame::Subscribe { services, held } => return relay.serve(conn, services, held).await,
             _ => {}
         }
     }
--- a/crates/usher/src/env.rs
+++ b/crates/usher/src/env.rs
@@ -14,6 +14,9 @@
     "guard_us",
     "extra_allowance",
     "stop_patience_us",
+    "watch_every_us",
+    "watch_patience_us",
+    "homes",
     "log_level",
 ];
 
@@ -55,6 +58,16 @@
     #[serde(default = "stop_patience")]
     #[validate(range(min = 100_000, max = 120_000_000, message = "is from 100000 to 120000000 microseconds"))]
     pub stop_patience_us: u64,
+    #[serde(default = "watch_every")]
+    #[validate(range(min = 50_000, max = 1_000_000, message = "is from 50000 to 1000000 microseconds"))]
+    pub watch_every_us: u64,
+    /// A node silent for so long is reported by its watchers.
+    #[serde(default = "watch_patience")]
+    #[validate(range(min = 200_000, max = 5_000_000, message = "is from 200000 to 5000000 microseconds"))]
+    pub watch_patience_us: u64,
+    /// Hear the core through the zone's home for one's services.
+    #[serde(default = "yes")]
+    pub homes: bool,
     #[serde(default = "log_level")]
     #[validate(custom(function = "playbill::env::is_level"))]
     pub log_level: String,
@@ -88,6 +101,18 @@
     61_000_000
 }
 
+fn watch_every() -> u64 {
+    200_000
+}
+
+fn watch_patience() -> u64 {
+    1_000_000
+}
+
+fn yes() -> bool {
+    true
+}
+
 fn log_level() -> String {
     "info".into()
 }
--- a/crates/usher/src/health.rs
+++ b/crates/usher/src/health.rs
@@ -51,7 +51,7 @@
         let (running, waiting) = self.0.house.load().await;
         let answer = serde_json::json!({
             "name": self.0.name, "position": view.slice.position, "version": view.slice.version, "services": view.slice.services,
-            "fresh_for_us": view.fresh_until.saturating_sub(playbill::now()), "running": running, "waiting": waiting,
+            "fresh_for_us": view.fresh_until.saturating_sub(playbill::now()), "running": running, "waiting": waiting, "traffic": wings::traffic::told(),
             "known": gallery::acquaint::list(&self.0.known),
         });
         lobby::json(response, 200, &answer);
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -15,7 +15,8 @@
   --version       name and version
 
 settings: name, zone, mates_address, advertised_address, local_address, seeds, beat_every_us,
-  beat_patience_us, freshness_us, ask_every_us, guard_us, extra_allowance, stop_patience_us, log_level
+  beat_patience_us, freshness_us, ask_every_us, guard_us, extra_allowance, stop_patience_us, watch_every_us,
+  watch_patience_us, homes, log_level
 SIGTERM stops it once all that was passed on has ended, SIGHUP reads the settings again.
 exit codes: 0 stopped as asked, 1 failed, 2 settings or flags at fault
 ";
--- a/crates/usher/src/node.rs
+++ b/crates/usher/src/node.rs
@@ -19,16 +19,34 @@
         let address = env.advertised_address.clone().unwrap_or(listening);
         let known = gallery::acquaint::nobody();
         let (services, wanted) = tokio::sync::watch::channel(Default::default());
+        let (name, zone) = (env.name.clone(), env.zone.clone());
+        let (greeter, place) = (known.clone(), address.clone());
+        let greeting = move |purpose| wings::Greeting {
+            purpose,
+            name: name.clone(),
+            zone: zone.clone(),
+            address: place.clone(),
+            incarnation: life,
+            core: None,
+            known: gallery::acquaint::list(&greeter),
+        };
+        let greet = |purpose| {
+            let greeting = greeting.clone();
+            move || greeting(purpose)
+        };
         let line = gallery::SubscriptionEnv {
             name: env.name.clone(),
             zone: env.zone.clone(),
-            address: address.clone(),
-            life,
             bound: env.freshness_us,
             ask_every: env.ask_every_us,
             patience: env.freshness_us / 2,
+            homes: env.homes,
         };
-        let subscription = gallery::subscription::start(line, known.clone(), wanted, logger.clone());
+        let subscription = gallery::subscription::start(line, known.clone(), wanted, greet(wings::Purpose::Subscribe), logger.clone());
+        let reporting = gallery::ReportingEnv { name: env.name.clone(), life, logger: logger.clone() };
+        let reports = gallery::Reports::start(reporting, known.clone(), greet(wings::Purpose::Subscribe));
+        let watching = gallery::watching::WatchingEnv { name: env.name.clone(), beat_every: env.watch_every_us, patience: env.watch_patience_us };
+        let heard = gallery::watching::start(watching, subscription.view.clone(), reports.clone(), greet(wings::Purpose::Watch));
         let house_env = stage::HouseEnv {
             node: env.name.clone(),
             zone: env.zone.clone(),
@@ -36,31 +54,19 @@
             bound: env.freshness_us,
             guard: env.guard_us,
         };
-        let (view, reports) = (subscription.view, subscription.reports);
+        let view = subscription.view;
         let house = stage::HouseDesk::start(house_env, view.clone(), subscription.moved, reports.clone(), services, logger.clone());
         let door = greenroom::Door::new().map_err(|error| told("http", &error))?;
         let far = stage::Far { house: house.clone(), door: std::sync::Arc::new(door), logger: logger.clone() };
-        let (name, zone) = (env.name.clone(), env.zone.clone());
-        let (greeter, place) = (known.clone(), address.clone());
-        let greeting = move |purpose| wings::Greeting {
-            purpose,
-            name: name.clone(),
-            zone: zone.clone(),
-            address: place.clone(),
-            incarnation: life,
-            core: None,
-            known: gallery::acquaint::list(&greeter),
-        };
-        let (answer, ask, call) = (greeting.clone(), greeting.clone(), greeting);
-        tokio::spawn(stage::server::listen(listener, move || answer(wings::Purpose::Call), known.clone(), far.clone(), view.clone()));
+        tokio::spawn(stage::server::listen(listener, greet(wings::Purpose::Call), known.clone(), far.clone(), subscription.relay, heard));
         // A node does not know how many seats there are; the first that greets it says so.
-        tokio::spawn(gallery::acquaint::run(known.clone(), env.seeds.clone(), move || ask(wings::Purpose::Acquaint), || 3));
+        tokio::spawn(gallery::acquaint::run(known.clone(), env.seeds.clone(), greet(wings::Purpose::Acquaint), || 3));
         let near = stage::Near {
             node: env.name.clone(),
             zone: env.zone.clone(),
             view: view.clone(),
             far,
-            mates: stage::mates::Mates::start(move || call(wings::Purpose::Call)),
+            mates: stage::mates::Mates::start(greet(wings::Purpose::Call)),
             picker: stage::picker::PickerDesk::start(),
             budget: stage::budget::BudgetDesk::start(env.extra_allowance),
             tries: stage::tries::TryDesk::start(),
--- a/crates/wings/src/conn.rs
+++ b/crates/wings/src/conn.rs
@@ -49,7 +49,7 @@
     Ok(writer.write_all(&out).await?)
 }
 
-pub(crate) fn run(greeting: crate::Greeting, mut reader: Reader, mut writer: Writer) -> Conn {
+pub(crate) fn run(zone: &str, greeting: crate::Greeting, mut reader: Reader, mut writer: Writer) -> Conn {
     let (sender, mut outgoing) = tokio::sync::mpsc::channel::<crate::Frame>(BUFFER);
     let (incoming, receiver) = tokio::sync::mpsc::channel(BUFFER);
     let (ended, mut reading_ended) = tokio::sync::oneshot::channel::<()>();
@@ -62,6 +62,7 @@
             }
         }
     });
+    let counted = crate::traffic::between(zone, &greeting.zone);
     tokio::spawn(async move {
         let mut out = Vec::new();
         loop {
@@ -74,7 +75,9 @@
             out.clear();
             // What has gathered leaves in one write.
             let more = std::iter::from_fn(|| outgoing.try_recv().ok()).take(255).collect::<Vec<_>>();
+            let frames = more.len() + 1;
             let whole = std::iter::once(first).chain(more).try_for_each(|frame| encode(&frame, &mut out));
+            counted.count(frames, out.len());
             let written = tokio::time::timeout(WRITE_PATIENCE, writer.write_all(&out)).await;
             if whole.is_err() || !matches!(written, Ok(Ok(()))) {
                 break;
--- a/crates/wings/src/hail.rs
+++ b/crates/wings/src/hail.rs
@@ -16,9 +16,10 @@
 pub async fn dial(address: &str, own: crate::Greeting) -> Result<crate::Conn, crate::Trouble> {
     in_time(async {
         let (mut reader, mut writer) = halves(tokio::net::TcpStream::connect(address).await?)?;
+        let zone = own.zone.clone();
         crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
         match crate::conn::read(&mut reader).await? {
-            crate::Frame::Greeting(greeting) => Ok(crate::conn::run(greeting, reader, writer)),
+            crate::Frame::Greeting(greeting) => Ok(crate::conn::run(&zone, greeting, reader, writer)),
             crate::Frame::Refusal(reason) => Err(crate::Trouble::Refused(reason)),
             _ => Err(crate::Trouble::Garbled),
         }
@@ -44,8 +45,9 @@
         };
         match judge(greeting.clone()).await {
             Ok(own) => {
+                let zone = own.zone.clone();
                 crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
-                Ok(crate::conn::run(greeting, reader, writer))
+                Ok(crate::conn::run(&zone, greeting, reader, writer))
             }
             Err(reason) => {
                 crate::conn::write(&mut writer, &crate::Frame::Refusal(reason.clone())).await?;
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -3,6 +3,7 @@
 mod conn;
 mod frame;
 mod hail;
+pub mod traffic;
 
 pub use conn::{Conn, Sender};
 pub use frame::*;
