--- /dev/null
+++ b/crates/boxoffice/tests/operators.rs
@@ -0,0 +1,143 @@
+//! Operators against a core in this process: faults, races, repeats, and no majority (design 2.2, 4.1).
+
+struct Seat {
+    core: gallery::Core,
+    serving: lobby::Serving,
+}
+
+async fn seat(folder: &std::path::Path, number: u16, seats: u16, seeds: Vec<String>) -> (Seat, String) {
+    let mates = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = mates.local_addr().expect("an address").to_string();
+    let env = gallery::CoreEnv {
+        name: format!("core-{number}"),
+        zone: "z0".into(),
+        seat: number,
+        seats,
+        address: address.clone(),
+        seeds: seeds.into_iter().chain([address.clone()]).collect(),
+        folder: folder.join(number.to_string()),
+        tuning: Default::default(),
+        snapshot_every: 100,
+    };
+    let core = gallery::Core::start(env, playbill::log::quiet()).expect("a core seat");
+    tokio::spawn(gallery::news::listen(core.clone(), mates));
+    let staying = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let router = boxoffice::router(boxoffice::Boxoffice { core: core.clone(), staying });
+    let serving = lobby::Serving::start("127.0.0.1:0", router).await.expect("http");
+    (Seat { core, serving }, address)
+}
+
+async fn until_started(seat: &Seat) {
+    while !seat.core.state.load().started || seat.core.state.load().in_touch <= seat.core.seats() as usize / 2 {
+        tokio::task::yield_now().await;
+    }
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().expect("a client")
+}
+
+async fn post(seat: &Seat, body: impl Into<reqwest::Body>) -> (u16, serde_json::Value) {
+    let url = format!("http://{}/v1/changes", seat.serving.address);
+    let response = client().post(url).body(body).send().await.expect("an answer");
+    (response.status().as_u16(), response.json().await.expect("JSON"))
+}
+
+fn change(id: &str, base: u64, edits: serde_json::Value) -> String {
+    serde_json::json!({ "id": id, "base": base, "edits": edits }).to_string()
+}
+
+fn site() -> serde_json::Value {
+    serde_json::json!([
+        { "put_grouping": { "name": "seat-z0", "grouping": { "service": "seat", "zone": "z0" } } },
+        { "put_order": { "name": "check", "order": { "selector": { "from": ["seat"], "service": "seat", "path_prefix": "/check" }, "wait_us": 1000000 } } }
+    ])
+}
+
+fn folder(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("gradeford-{name}-{}", std::process::id()))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_named_and_changes_nothing() {
+    let folder = folder("faults");
+    let (seat, _) = seat(&folder, 0, 1, vec![]).await;
+    until_started(&seat).await;
+    assert_eq!(post(&seat, change("site", 0, site())).await.0, 200);
+    let put = |wait: serde_json::Value, extra: &str| {
+        format!(
+            r#"{{"id":"x","base":1,"edits":[{{"put_order":{{"name":"a","order":{{"selector":{{"from":["seat"],"service":"seat"}},"wait_us":{wait}{extra}}}}}}}]}}"#
+        )
+    };
+    let cases = [
+        ("not JSON".to_string(), 400, "body"),
+        (put(1_000_000.into(), r#","speed":9"#), 400, "body"),
+        (put("soon".into(), ""), 400, "body"),
+        (put(5.into(), ""), 422, "edits[0].order.wait_us"),
+        (change("y", 1, serde_json::json!([])), 422, "edits"),
+        (change("z", 1, serde_json::json!([{ "drop_order": { "name": "absent" } }])), 422, "edits[0].name"),
+    ];
+    for (body, status, path) in cases {
+        let (found, answer) = post(&seat, body.clone()).await;
+        assert_eq!((found, answer["faults"][0]["path"].as_str()), (status, Some(path)), "{body} got {answer}");
+    }
+    let state = client().get(format!("http://{}/v1/desired", seat.serving.address)).send().await.expect("an answer");
+    assert_eq!(state.headers().get("etag").and_then(|tag| tag.to_str().ok()), Some("\"1\""));
+    let state: serde_json::Value = state.json().await.expect("JSON");
+    assert_eq!(state["orders"].as_object().map(|orders| orders.len()), Some(1));
+    std::fs::remove_dir_all(folder).expect("clean");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_racing_one_wins_and_a_repeat_is_harmless() {
+    let folder = folder("race");
+    let (first, address) = seat(&folder, 0, 3, vec![]).await;
+    let (second, next) = seat(&folder, 1, 3, vec![address.clone()]).await;
+    let lonely = post(&first, change("early", 0, site())).await;
+    assert_eq!((lonely.0, lonely.1["verdict"].as_str()), (503, Some("not-run")), "no majority has met yet");
+    let (third, _) = seat(&folder, 2, 3, vec![address, next]).await;
+    for seat in [&first, &second, &third] {
+        until_started(seat).await;
+    }
+    assert_eq!(post(&first, change("site", 0, site())).await.0, 200);
+    let edit = |path: &str| serde_json::json!([{ "put_order": { "name": "a", "order": { "selector": { "from": ["seat"], "service": "seat", "path_prefix": path }, "wait_us": 1000000 } } }]);
+    let (one, two) = tokio::join!(post(&first, change("one", 1, edit("/one"))), post(&second, change("two", 1, edit("/two"))));
+    let mut statuses = [one.0, two.0];
+    statuses.sort();
+    assert_eq!(statuses, [200, 412], "{one:?} {two:?}");
+    let (winner, path) = if one.0 == 200 { ("one", "/one") } else { ("two", "/two") };
+    let again = post(&third, change(winner, 1, edit(path))).await;
+    assert_eq!((again.0, again.1["accepted"]["version"].as_u64()), (200, Some(2)), "{again:?}");
+    // Any seat reads back what another accepted.
+    let state = client().get(format!("http://{}/v1/orders/a", third.serving.address)).send().await.expect("an answer");
+    let order: serde_json::Value = state.json().await.expect("JSON");
+    assert_eq!(order["selector"]["path_prefix"].as_str(), Some(path));
+    std::fs::remove_dir_all(folder).expect("clean");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_emptied_disk_may_not_vote_under_its_old_seat() {
+    let folder = folder("emptied");
+    let (first, address) = seat(&folder, 0, 3, vec![]).await;
+    let (second, next) = seat(&folder, 1, 3, vec![address.clone()]).await;
+    let (third, _) = seat(&folder, 2, 3, vec![address.clone(), next.clone()]).await;
+    for seat in [&first, &second, &third] {
+        until_started(seat).await;
+    }
+    assert_eq!(post(&first, change("site", 0, site())).await.0, 200);
+    // The same seat on an empty disk, at another address.
+    let (emptied, _) = seat_again(&folder, vec![address, next]).await;
+    while emptied.core.state.load().refused.is_none() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!emptied.core.state.load().started);
+    let ready = client().get(format!("http://{}/ready", emptied.serving.address)).send().await.expect("an answer");
+    assert_eq!(ready.status().as_u16(), 503);
+    let told = ready.text().await.expect("text");
+    assert!(told.contains("another disk"), "{told}");
+    std::fs::remove_dir_all(folder).expect("clean");
+}
+
+async fn seat_again(folder: &std::path::Path, seeds: Vec<String>) -> (Seat, String) {
+    seat(&folder.join("emptied"), 0, 3, seeds).await
+}
--- /dev/null
+++ b/crates/playbill/tests/book.rs
@@ -0,0 +1,137 @@
+//! The state machine: repeats, races, faults, and who is presumed gone (design 2).
+
+use playbill::{Act, BackEnd, Book, Change, Edit, Entry, Grouping, Order, Outcome, Phase, Selector, standing::Report};
+
+fn grouping(service: &str) -> Edit {
+    let grouping = Grouping { service: service.into(), zone: "z0".into(), labels: Default::default() };
+    Edit::PutGrouping { name: format!("{service}-z0"), grouping }
+}
+
+fn order(name: &str, from: &str, service: &str, path: &str) -> Edit {
+    let selector = Selector { from: vec![from.into()], service: service.into(), methods: vec![], path_prefix: path.into(), labels: Default::default() };
+    let order = Order { selector, wait_us: 1_000_000, importance: 5, repeatable: false, keyed: false, leave_zone: true };
+    Edit::PutOrder { name: name.into(), order }
+}
+
+fn change(book: &mut Book, id: &str, base: u64, edits: Vec<Edit>) -> Outcome {
+    let act = Act::Change(Change { id: id.into(), base, edits });
+    book.apply(Entry { origin: "core-0".into(), life: 1, sequence: 0, act })
+}
+
+fn tell(book: &mut Book, origin: &str, life: u64, sequence: u64, report: Report) -> Outcome {
+    book.apply(Entry { origin: origin.into(), life, sequence, act: Act::Standing(report) })
+}
+
+fn node(name: &str, incarnation: u64) -> Report {
+    Report::Node { node: name.into(), zone: "z0".into(), address: "127.0.0.1:1".into(), incarnation }
+}
+
+fn registered(name: &str, node: &str, incarnation: u64) -> Report {
+    let back_end = BackEnd {
+        service: "seat".into(),
+        zone: "z0".into(),
+        labels: Default::default(),
+        slots: 4,
+        node: node.into(),
+        incarnation,
+        phase: Phase::Registered,
+        since: 0,
+    };
+    Report::Registered { name: name.into(), back_end }
+}
+
+fn site() -> Book {
+    let mut book = Book::default();
+    let accepted = change(&mut book, "site", 0, vec![grouping("seat"), order("check", "seat", "seat", "/check")]);
+    assert!(matches!(accepted, Outcome::Accepted { version: 1, .. }), "{accepted:?}");
+    (0..4u64).for_each(|at| assert!(matches!(tell(&mut book, &format!("n{at}"), 1, 1, node(&format!("n{at}"), 1)), Outcome::Accepted { .. })));
+    book
+}
+
+#[test]
+fn a_change_sent_again_has_its_first_answer_and_no_second_effect() {
+    let mut book = site();
+    let first = change(&mut book, "more", 1, vec![order("take", "seat", "seat", "/take")]);
+    let before = book.clone();
+    assert_eq!(change(&mut book, "more", 1, vec![order("take", "seat", "seat", "/take")]), first);
+    assert_eq!(change(&mut book, "more", 1, vec![order("take", "seat", "seat", "/other")]), Outcome::Reused { version: 2 });
+    assert_eq!(change(&mut book, "late", 1, vec![order("x", "seat", "seat", "/x")]), Outcome::Stale { version: 2 });
+    assert_eq!(book, before);
+}
+
+#[test]
+fn an_invalid_change_has_all_its_faults_named_and_no_part_in_effect() {
+    let mut book = site();
+    let before = book.clone();
+    let mut long = order("long", "seat", "seat", "/long");
+    if let Edit::PutOrder { order, .. } = &mut long {
+        order.wait_us = 90_000_000;
+    }
+    let edits = vec![
+        grouping("fine"),
+        long,
+        order("Bad Name", "seat", "seat", "/a"),
+        order("lost", "seat", "nowhere", "/b"),
+        order("twin", "seat", "seat", "/check"),
+        Edit::DropOrder { name: "absent".into() },
+    ];
+    let Outcome::Invalid { faults } = change(&mut book, "bad", 1, edits) else { panic!("it was accepted") };
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    ["edits[1].order.wait_us", "edits[2].name", "orders.lost.selector.service", "orders.twin.selector", "edits[5].name"]
+        .iter()
+        .for_each(|path| assert!(paths.contains(path), "{path} is not among {paths:?}"));
+    assert_eq!(book, before);
+}
+
+#[test]
+fn taking_away_what_an_order_needs_is_refused() {
+    let mut book = site();
+    let outcome = change(&mut book, "drop", 1, vec![Edit::DropGrouping { name: "seat-z0".into() }]);
+    assert!(matches!(outcome, Outcome::Invalid { .. }), "{outcome:?}");
+    assert_eq!(book.desired.version, 1);
+}
+
+#[test]
+fn repeats_and_earlier_lives_change_nothing() {
+    let mut book = site();
+    let first = tell(&mut book, "n0", 1, 2, registered("seat-0", "n0", 10));
+    let before = book.clone();
+    assert_eq!(tell(&mut book, "n0", 1, 2, registered("seat-0", "n0", 10)), first);
+    assert!(matches!(tell(&mut book, "n0", 0, 9, registered("seat-0", "n0", 99)), Outcome::Refused { .. }));
+    assert_eq!(book, before);
+    // A live name is not taken by another node, and a life that ended does not come back.
+    assert!(matches!(tell(&mut book, "n1", 1, 2, registered("seat-0", "n1", 20)), Outcome::Refused { .. }));
+    let phase = |phase| Report::Phase { name: "seat-0".into(), incarnation: 10, phase };
+    tell(&mut book, "n0", 1, 3, phase(Phase::SignedOff));
+    tell(&mut book, "n0", 1, 4, phase(Phase::Draining));
+    assert_eq!(book.standing.back_ends["seat-0"].phase, Phase::SignedOff);
+}
+
+#[test]
+fn one_watcher_is_not_believed_two_are() {
+    let mut book = site();
+    tell(&mut book, "n0", 1, 2, registered("seat-0", "n0", 10));
+    let missed = |watcher: &str, missed| Report::Watch { watcher: watcher.into(), node: "n0".into(), incarnation: 1, missed };
+    tell(&mut book, "n1", 1, 2, missed("n1", true));
+    assert!(book.standing.nodes["n0"].present);
+    tell(&mut book, "n1", 1, 3, missed("n1", false));
+    tell(&mut book, "n2", 1, 2, missed("n2", true));
+    assert!(book.standing.nodes["n0"].present, "a word taken back does not count");
+    tell(&mut book, "n3", 1, 2, missed("n3", true));
+    assert!(!book.standing.nodes["n0"].present);
+    assert_eq!(book.standing.back_ends["seat-0"].phase, Phase::PresumedGone);
+}
+
+#[test]
+fn tables_of_repeats_stay_bounded_and_old_repeats_are_stale() {
+    let mut book = site();
+    (1..1_500u64).for_each(|version| {
+        let path = if version % 2 == 0 { "/take" } else { "/give" };
+        let outcome = change(&mut book, &format!("c{version}"), version, vec![order("take", "seat", "seat", path)]);
+        assert!(matches!(outcome, Outcome::Accepted { .. }));
+    });
+    let size = book.to_bytes().len();
+    assert!(size < 400_000, "the book grew to {size} bytes");
+    assert_eq!(change(&mut book, "c1", 1, vec![order("take", "seat", "seat", "/give")]), Outcome::Stale { version: 1_500 });
+    assert_eq!(Book::from_bytes(&book.to_bytes()), Some(book));
+}
--- a/crates/rehearsal/src/sim/effects.rs
+++ b/crates/rehearsal/src/sim/effects.rs
@@ -47,7 +47,7 @@
             }
             repertory::Effect::Apply(at, value) => {
                 self.nodes[seat as usize].history.push((at, value.clone()));
-                self.findings.applied(seat, at, &value, self.plan.seats);
+                self.findings.applied(self.now, seat, at, &value, self.plan.seats);
                 self.snapshot_when_due(seat, at + 1);
             }
             repertory::Effect::Install { state, .. } => {
--- a/crates/rehearsal/tests/ordering.rs
+++ b/crates/rehearsal/tests/ordering.rs
@@ -1,6 +1,6 @@
 //! The ordering under drawn faults, crashes at every numbered point, and a broken disk (design 9).
 
-use rehearsal::sim::{Plan, World, schedule};
+use rehearsal::sim::{Fault, Plan, World, schedule};
 
 fn play(plan: Plan, bytes: &[u8], seconds: u64) -> World {
     let mut world = World::new(plan);
@@ -52,3 +52,64 @@
     });
     assert!(broken.is_some(), "no seed showed what an answer before its sync loses");
 }
+
+fn healed(world: &mut World, seconds: u64) {
+    world.run_until(seconds * 1_000_000);
+    let nodes = std::mem::take(&mut world.nodes);
+    world.findings.close(&nodes);
+    world.nodes = nodes;
+}
+
+fn last_words(world: &mut World, time: u64) {
+    (0..world.plan.seats).for_each(|seat| world.at_fault(time, Fault::Submit(seat, format!("last {seat}").into_bytes())));
+}
+
+#[test]
+fn losing_one_of_five_holds_no_entry_for_two_seconds() {
+    let slowest = (1..6u64).map(|seed| {
+        let mut world = World::new(Plan::new(5, seed));
+        let lost = (seed % 5) as u16;
+        world.at_fault(1_000_000, Fault::Crash(lost));
+        (0..80u64).for_each(|number| {
+            let seat = ((number + seed) % 5) as u16;
+            world.at_fault(500_000 + number * 50_000, Fault::Submit(seat, number.to_be_bytes().to_vec()));
+        });
+        world.at_fault(6_000_000, Fault::Start(lost));
+        last_words(&mut world, 8_000_000);
+        healed(&mut world, 12);
+        assert_eq!(world.findings.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(world.counts.revocations > 0, "nobody revoked the lost seat");
+        world.findings.slowest
+    });
+    let slowest = slowest.max().unwrap_or(0);
+    assert!(slowest > 0 && slowest < 2_000_000, "an entry took {slowest} microseconds");
+}
+
+#[test]
+fn a_falsely_revoked_coordinator_suggests_again() {
+    let mut world = World::new(Plan::new(3, 11));
+    // Its frames are lost, it lives on: the others revoke what it suggested meanwhile.
+    [(0, 1), (0, 2)].into_iter().for_each(|(from, to)| world.at_fault(1_000_000, Fault::Cut(from, to)));
+    world.at_fault(1_010_000, Fault::Submit(0, b"kept through a revocation".to_vec()));
+    world.at_fault(1_020_000, Fault::Submit(1, b"pushes the log on".to_vec()));
+    world.at_fault(3_000_000, Fault::Mend);
+    last_words(&mut world, 5_000_000);
+    healed(&mut world, 8);
+    assert_eq!(world.findings.broken, Vec::<String>::new());
+    assert!(world.counts.revocations > 0);
+    let held = world.nodes[1].history.iter().filter(|(_, value)| value == b"kept through a revocation").count();
+    assert_eq!(held, 1, "{:?}", world.nodes[1].history);
+}
+
+#[test]
+fn a_seat_that_was_away_long_catches_up_by_snapshot_and_tail() {
+    let mut world = World::new(Plan { snapshot_every: 20, ..Plan::new(3, 5) });
+    world.at_fault(500_000, Fault::Crash(2));
+    (0..150u64).for_each(|number| world.at_fault(600_000 + number * 20_000, Fault::Submit((number % 2) as u16, number.to_be_bytes().to_vec())));
+    world.at_fault(5_000_000, Fault::Start(2));
+    last_words(&mut world, 6_000_000);
+    healed(&mut world, 9);
+    assert_eq!(world.findings.broken, Vec::<String>::new());
+    let floors: Vec<u64> = world.nodes.iter().filter_map(|node| node.machine.as_ref().map(repertory::Repertory::floor)).collect();
+    assert!(floors.iter().all(|floor| *floor > 0), "no log was cut: {floors:?}");
+}
--- /dev/null
+++ b/crates/stage/tests/house.rs
@@ -0,0 +1,230 @@
+//! The last check and the buffers, with the time told to them (design 5.3, 5.7, 7.3).
+
+use playbill::{Cause, Order, Phase, Selector, Verdict, standing::Report, terms::Term};
+use stage::house::{Permit, Registration};
+use stage::{House, HouseEnv};
+
+const SECOND: u64 = 1_000_000;
+
+struct Scene {
+    house: House,
+    view: gallery::View,
+    life: u64,
+    tickets: u64,
+}
+
+fn order(path: &str, importance: u8, keyed: bool) -> Order {
+    let selector = Selector { from: vec!["desk".into()], service: "seat".into(), methods: vec![], path_prefix: path.into(), labels: Default::default() };
+    Order { selector, wait_us: 3 * SECOND, importance, repeatable: false, keyed, leave_zone: true }
+}
+
+impl Scene {
+    fn new(slots: u32) -> Scene {
+        let env = HouseEnv { node: "n0".into(), zone: "z0".into(), beat_patience: 60 * SECOND, bound: 1_500_000, guard: 250_000 };
+        let mut scene = Scene { house: House::new(env), view: Default::default(), life: 0, tickets: 0 };
+        let registration =
+            Registration { name: "seat-0".into(), service: "seat".into(), zone: "z0".into(), labels: Default::default(), slots, address: "127.0.0.1:9".into() };
+        scene.life = scene.house.reserve(0, 100, registration, "secret".into()).expect("the name is free");
+        scene.house.confirm(0, "seat-0", scene.life, true);
+        let orders = [("plain", order("/plain", 5, false)), ("dear", order("/dear", 9, false)), ("keyed", order("/keyed", 5, true))];
+        let orders = orders.into_iter().map(|(name, order)| (name.to_string(), order)).collect();
+        let back_end = scene.house.back_end("seat-0").expect("registered");
+        let mut slice = playbill::Slice { position: 5, orders, ..Default::default() };
+        slice.back_ends.insert("seat-0".into(), back_end);
+        let term = Term { holder: Some(("seat-0".into(), scene.life)), fence: 5, owed: vec![] };
+        slice.terms.insert("seat".into(), vec![term; playbill::terms::SLICES as usize]);
+        slice.longest.insert("seat".into(), 3 * SECOND);
+        scene.view = gallery::View { slice: std::sync::Arc::new(slice), fresh_until: 1_000 * SECOND };
+        scene
+    }
+
+    fn edit(&mut self, edit: impl FnOnce(&mut playbill::Slice)) {
+        edit(std::sync::Arc::make_mut(&mut self.view.slice));
+    }
+
+    fn dispatch(&self, try_id: &str, path: &str) -> wings::Dispatch {
+        wings::Dispatch {
+            number: 0,
+            try_id: try_id.into(),
+            ordinal: 0,
+            sender_service: "desk".into(),
+            lane: String::new(),
+            service: "seat".into(),
+            back_end: "seat-0".into(),
+            incarnation: self.life,
+            method: "POST".into(),
+            path: path.into(),
+            query: String::new(),
+            headers: vec![],
+            body: vec![],
+            key: (path == "/keyed").then(|| "k".to_string()),
+            fence: (path == "/keyed").then_some(5),
+            left: 3 * SECOND,
+            importance: if path == "/dear" { 9 } else { 5 },
+        }
+    }
+
+    fn enter(&mut self, now: u64, dispatch: wings::Dispatch) -> Vec<(u64, Result<Permit, playbill::Trouble>)> {
+        self.tickets += 1;
+        self.house.enter(now, &self.view, self.tickets, dispatch)
+    }
+
+    fn cause(&mut self, now: u64, dispatch: wings::Dispatch) -> Option<Cause> {
+        let entered = self.enter(now, dispatch);
+        entered.into_iter().next().and_then(|(_, entered)| entered.err()).map(|trouble| trouble.cause)
+    }
+}
+
+#[test]
+fn each_reason_against_passing_on_is_found_at_the_last_check() {
+    let mut scene = Scene::new(4);
+    let at = SECOND;
+    let good = scene.dispatch("t", "/plain");
+    let stale = gallery::View { fresh_until: at, ..scene.view.clone() };
+    let current = std::mem::replace(&mut scene.view, stale);
+    assert_eq!(scene.cause(at, good.clone()), Some(Cause::NotFresh));
+    scene.view = current;
+    assert_eq!(scene.cause(at, wings::Dispatch { left: 0, ..good.clone() }), Some(Cause::TooLate));
+    assert_eq!(scene.cause(at, wings::Dispatch { service: "other".into(), ..good.clone() }), Some(Cause::WrongIncarnation));
+    assert_eq!(scene.cause(at, wings::Dispatch { incarnation: good.incarnation - 1, ..good.clone() }), Some(Cause::WrongIncarnation));
+    assert_eq!(scene.cause(at, wings::Dispatch { sender_service: "stranger".into(), ..good.clone() }), Some(Cause::NoLane));
+    assert_eq!(scene.cause(at, wings::Dispatch { path: "/plainer".into(), ..good.clone() }), Some(Cause::NoLane));
+    assert_eq!(scene.cause(at, wings::Dispatch { fence: Some(4), ..scene.dispatch("k", "/keyed") }), Some(Cause::StaleFence));
+    assert_eq!(scene.cause(at, good.clone()), None);
+    assert_eq!(scene.cause(at, good), Some(Cause::DuplicateTry), "passed on once already");
+    assert_eq!(Cause::DuplicateTry.verdict(), Verdict::MayHaveRun);
+    assert_eq!(scene.house.beat(at, "secret", true).as_deref(), Some("seat-0"));
+    let late = scene.dispatch("late", "/plain");
+    assert_eq!(scene.cause(at, late), Some(Cause::Draining));
+}
+
+#[test]
+fn what_the_log_says_of_a_back_end_holds_though_it_still_beats() {
+    let mut scene = Scene::new(4);
+    let one = scene.dispatch("one", "/plain");
+    scene.edit(|slice| slice.back_ends.values_mut().for_each(|held| held.phase = Phase::Draining));
+    assert_eq!(scene.cause(SECOND, one), Some(Cause::Draining));
+    scene.edit(|slice| slice.back_ends.values_mut().for_each(|held| held.phase = Phase::PresumedGone));
+    drop(scene.house.pump(SECOND, &scene.view));
+    let reports = scene.house.reports();
+    assert!(reports.iter().any(|report| matches!(report, Report::Registered { back_end, .. } if back_end.incarnation > scene.life)), "{reports:?}");
+    let two = scene.dispatch("two", "/plain");
+    assert_eq!(scene.cause(SECOND, two), Some(Cause::WrongIncarnation), "the old life is over");
+}
+
+#[test]
+fn a_full_buffer_gives_way_to_the_important_and_late_ones_are_told_at_once() {
+    let mut scene = Scene::new(1);
+    let enter = |scene: &mut Scene, name: &str, path: &str| {
+        let dispatch = scene.dispatch(name, path);
+        scene.enter(0, dispatch)
+    };
+    let first = enter(&mut scene, "runs", "/plain");
+    let permit = first.into_iter().next().and_then(|(_, entered)| entered.ok()).expect("a free slot");
+    (0..4).for_each(|number| assert!(enter(&mut scene, &format!("w{number}"), "/plain").is_empty()));
+    let refused = enter(&mut scene, "w4", "/plain");
+    assert!(matches!(&refused[0].1, Err(trouble) if trouble.cause == Cause::Overloaded && trouble.retry_after.is_some()));
+    let shed = enter(&mut scene, "dear", "/dear");
+    assert_eq!(shed.len(), 1, "the last plain one gives way");
+    assert_eq!(scene.house.waiting(), 4);
+    scene.house.done(&permit, false);
+    let granted = scene.house.pump(SECOND, &scene.view);
+    assert_eq!(granted.len(), 1);
+    assert_eq!(granted[0].0, 7, "the important one goes first though it came last");
+    let late = scene.house.pump(3 * SECOND, &scene.view);
+    assert_eq!(late.len(), 3);
+    assert!(late.iter().all(|(_, entered)| matches!(entered, Err(trouble) if trouble.cause == Cause::TooLate)));
+}
+
+#[test]
+fn one_key_cannot_take_all_slots_nor_all_of_the_buffer() {
+    let mut scene = Scene::new(8);
+    let mut crowded = 0;
+    (0..30).for_each(|number| {
+        let dispatch = scene.dispatch(&format!("hot{number}"), "/keyed");
+        crowded += (scene.cause(0, dispatch) == Some(Cause::KeyCrowded)) as usize;
+    });
+    assert_eq!(scene.house.running(), 6);
+    assert_eq!(scene.house.waiting(), 8);
+    assert_eq!(crowded, 30 - 6 - 8);
+    let other = wings::Dispatch { key: Some("cool".into()), ..scene.dispatch("cool", "/keyed") };
+    assert_eq!(scene.cause(0, other), None);
+    assert_eq!(scene.house.running(), 7);
+}
+
+#[test]
+fn a_moved_key_waits_for_the_release_or_for_bound_guard_and_longest_run() {
+    let mut scene = Scene::new(4);
+    let owed = vec![(("seat-9".to_string(), 1), 6)];
+    scene.edit(|slice| {
+        slice.position = 6;
+        let holder = slice.terms["seat"][0].holder.clone();
+        slice.terms.insert("seat".into(), vec![Term { holder, fence: 6, owed }; playbill::terms::SLICES as usize]);
+    });
+    drop(scene.house.pump(SECOND, &scene.view));
+    let moved = |scene: &Scene, name: &str| wings::Dispatch { fence: Some(6), ..scene.dispatch(name, "/keyed") };
+    let free = SECOND + 1_500_000 + 250_000 + 3 * SECOND;
+    let (early, timely) = (moved(&scene, "early"), moved(&scene, "timely"));
+    assert_eq!(scene.cause(free - 1, early), Some(Cause::KeyUnheld));
+    assert_eq!(scene.cause(free, timely), None);
+    // With the release in the log nothing is left to wait for.
+    scene.edit(|slice| slice.terms.values_mut().flatten().for_each(|term| term.owed.clear()));
+    let released = moved(&scene, "released");
+    assert_eq!(scene.cause(2 * SECOND, released), None);
+}
+
+#[test]
+fn a_holder_says_it_released_only_after_its_last_run_on_the_key() {
+    let mut scene = Scene::new(4);
+    let dispatch = scene.dispatch("runs", "/keyed");
+    let permit = scene.enter(0, dispatch).remove(0).1.expect("a slot");
+    let lost = vec![(("seat-0".to_string(), scene.life), 7)];
+    scene.edit(|slice| {
+        slice.position = 7;
+        let term = Term { holder: Some(("seat-9".into(), 1)), fence: 7, owed: lost };
+        slice.terms.insert("seat".into(), vec![term; playbill::terms::SLICES as usize]);
+    });
+    let releases = |scene: &mut Scene| {
+        drop(scene.house.pump(SECOND, &scene.view));
+        scene.house.reports().into_iter().filter(|report| matches!(report, Report::Released { through: 7, .. })).count()
+    };
+    assert_eq!(releases(&mut scene), 0, "a run on the key is still under way");
+    scene.house.done(&permit, false);
+    assert_eq!(releases(&mut scene), 1);
+    assert_eq!(releases(&mut scene), 0, "said once");
+}
+
+#[test]
+fn an_address_taken_over_reaches_its_old_back_end_no_more() {
+    let mut scene = Scene::new(4);
+    let next = Registration {
+        name: "other-0".into(),
+        service: "other".into(),
+        zone: "z0".into(),
+        labels: Default::default(),
+        slots: 4,
+        address: "127.0.0.1:9".into(),
+    };
+    scene.house.reserve(SECOND, 200, next, "another".into()).expect("a new name");
+    let old = scene.dispatch("old", "/plain");
+    assert_eq!(scene.cause(SECOND, old), Some(Cause::WrongIncarnation));
+    let taken = Registration {
+        name: "other-0".into(),
+        service: "other".into(),
+        zone: "z0".into(),
+        labels: Default::default(),
+        slots: 1,
+        address: "127.0.0.1:8".into(),
+    };
+    scene.house.confirm(SECOND, "other-0", 200, true);
+    assert!(scene.house.reserve(SECOND, 300, taken, "thief".into()).is_err(), "a live registration is not taken over");
+}
+
+#[test]
+fn a_try_that_certainly_did_not_leave_may_come_again() {
+    let mut scene = Scene::new(1);
+    let dispatch = scene.dispatch("again", "/plain");
+    let permit = scene.enter(0, dispatch.clone()).remove(0).1.expect("a slot");
+    scene.house.done(&permit, true);
+    assert!(scene.enter(1, dispatch).remove(0).1.is_ok());
+}
