--- a/crates/rehearsal/src/sim/mod.rs
+++ b/crates/rehearsal/src/sim/mod.rs
@@ -3,10 +3,13 @@
 mod check;
 mod effects;
 mod faults;
+mod mesh;
+mod mesh_events;
 mod plan;
 mod world;
 
 pub use check::Findings;
 pub use faults::{Fault, schedule};
+pub use mesh::{Mesh, MeshPlan, Strike};
 pub use plan::{Counts, Plan};
 pub use world::World;
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -61,6 +61,7 @@
     pub until: Micros,
     /// The sender's service and the try, as the duplicates' table knows it.
     pub identity: (String, String),
+    pub key: Option<String>,
 }
 
 pub type Granted = Vec<(u64, Result<Permit, Trouble>)>;
--- a/crates/stage/src/house_pump.rs
+++ b/crates/stage/src/house_pump.rs
@@ -43,7 +43,7 @@
             })
             .unwrap_or_default();
         let identity = (dispatch.sender_service.clone(), House::identity(dispatch));
-        Permit { run, name: dispatch.back_end.clone(), address, until, identity }
+        Permit { run, name: dispatch.back_end.clone(), address, until, identity, key: dispatch.key.clone() }
     }
 
     fn queue_up(&mut self, waiter: Waiter) -> Granted {
