--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -5,6 +5,7 @@
 
 usage: rehearsal run SITE [--scenario NAME] [--seconds N] [flags]
        rehearsal all [SITE ...] [--only NAME,NAME] [flags]
+       rehearsal count
        rehearsal understudy --name N --service S --zone Z ...
 
   SITE        swanreach, kurasa or small
@@ -26,6 +27,10 @@
     let ended = runtime.map_err(|error| error.to_string()).and_then(|runtime| match arguments.subcommand() {
         Ok(Some(word)) if word == "run" => runtime.block_on(perform(arguments)),
         Ok(Some(word)) if word == "all" => runtime.block_on(all(arguments)),
+        Ok(Some(word)) if word == "count" => {
+            count();
+            Ok(())
+        }
         Ok(Some(word)) if word == "understudy" => runtime.block_on(understudy(arguments)),
         _ => {
             eprint!("{HELP}");
@@ -45,6 +50,17 @@
     })
 }
 
+/// Costs of an entry under some settings of α and τ, with one or all seats suggesting, sparsely or in a burst.
+fn count() {
+    println!("{}", rehearsal::sim::count::HEAD);
+    let settings = [(20, 50_000), (20, 10_000), (20, 200_000), (1, 50_000), (200, 50_000)];
+    settings.iter().for_each(|(alpha, tau)| {
+        [(20_000, true), (20_000, false), (200, true), (200, false)].iter().for_each(|(gap, one_seat)| {
+            println!("{}", rehearsal::sim::count::line(5, *alpha, *tau, *gap, 400, *one_seat));
+        });
+    });
+}
+
 /// What `run` and `all` share: everything but the site and the scenario.
 fn plan(arguments: &mut pico_args::Arguments) -> rehearsal::run::Plan {
     let folder: Option<std::path::PathBuf> = usage(arguments.opt_value_from_str("--folder"));
--- a/crates/rehearsal/src/sim/effects.rs
+++ b/crates/rehearsal/src/sim/effects.rs
@@ -27,6 +27,7 @@
         match effect {
             repertory::Effect::Send(to, frame) => {
                 self.counts.frames += 1;
+                *self.counts.kinds.entry(super::count::kind(&frame.message)).or_default() += 1;
                 self.counts.revocations += matches!(frame.message, repertory::Message::Prepare { .. }) as u64;
                 let (x, y) = (seat as usize, to as usize);
                 let time = (self.now + self.draw(self.plan.hop)).max(self.last_delivery[x][y] + 1);
--- a/crates/rehearsal/src/sim/mod.rs
+++ b/crates/rehearsal/src/sim/mod.rs
@@ -1,6 +1,7 @@
 //! Core seats under virtual time: the real ordering machine, a made-up network and disks (design 9.1).
 
 mod check;
+pub mod count;
 mod effects;
 mod faults;
 mod mesh;
--- a/crates/rehearsal/src/sim/plan.rs
+++ b/crates/rehearsal/src/sim/plan.rs
@@ -24,8 +24,9 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Counts {
+    pub kinds: std::collections::BTreeMap<&'static str, u64>,
     pub frames: u64,
     pub syncs: u64,
     pub revocations: u64,
--- a/crates/vault/src/keeper.rs
+++ b/crates/vault/src/keeper.rs
@@ -18,7 +18,7 @@
         jobs.into_iter().for_each(|job| match job {
             Job::Append { ticket, writes, afresh } => {
                 let mut failed = false;
-                while let Err(error) = shelf.append(writes.clone(), afresh) {
+                while let Err(error) = shelf.append(&writes, afresh) {
                     failed = true;
                     trouble(Some(error.to_string()));
                     std::thread::sleep(std::time::Duration::from_millis(200));
--- a/crates/vault/src/shelf.rs
+++ b/crates/vault/src/shelf.rs
@@ -6,8 +6,12 @@
 const PINS: redb::TableDefinition<u16, u64> = redb::TableDefinition::new("pins");
 const JOURNAL: redb::TableDefinition<u64, &[u8]> = redb::TableDefinition::new("journal");
 
+/// How the store is opened, and opened again after a failure has spoilt it.
+type Opener = Box<dyn Fn() -> Result<redb::Database, crate::Trouble> + Send>;
+
 pub struct Shelf {
-    store: redb::Database,
+    store: Option<redb::Database>,
+    opener: Opener,
     next: u64,
     pub identity: crate::Identity,
     pub pins: crate::Pins,
@@ -21,16 +25,17 @@
     /// Opens the file in `folder`, or makes it with a new identity, and reads the journal back.
     pub fn open(folder: &std::path::Path) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
         std::fs::create_dir_all(folder)?;
-        let store_file = redb::Database::create(folder.join("core.redb")).map_err(store)?;
-        Shelf::load(store_file)
+        let path = folder.join("core.redb");
+        Shelf::load(Box::new(move || redb::Database::create(&path).map_err(store)))
     }
 
     /// Over any storage: the fault tests bring their own (design 9.4).
-    pub fn open_on(backend: impl redb::StorageBackend) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
-        Shelf::load(redb::Builder::new().create_with_backend(backend).map_err(store)?)
+    pub fn open_on<B: redb::StorageBackend>(backend: impl Fn() -> B + Send + 'static) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+        Shelf::load(Box::new(move || redb::Builder::new().create_with_backend(backend()).map_err(store)))
     }
 
-    fn load(database: redb::Database) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+    fn load(opener: Opener) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
+        let database = opener()?;
         let change = database.begin_write().map_err(store)?;
         let (identity, pins, raw) = {
             let mut meta = change.open_table(META).map_err(store)?;
@@ -62,48 +67,77 @@
         let next = raw.last().map(|(at, _)| at + 1).unwrap_or(0);
         let writes =
             raw.into_iter().map(|(at, bytes)| decode(&bytes).ok_or(crate::Trouble::Damaged { at })).collect::<Result<Vec<Vec<repertory::Write>>, _>>()?;
-        Ok((Shelf { store: database, next, identity, pins }, writes.into_iter().flatten().collect()))
+        Ok((Shelf { store: Some(database), opener, next, identity, pins }, writes.into_iter().flatten().collect()))
     }
 
-    /// One transaction, one sync. `afresh` replaces all that was kept.
-    pub fn append(&mut self, writes: Vec<repertory::Write>, afresh: bool) -> Result<(), crate::Trouble> {
-        let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(&writes).map(|bytes| bytes.to_vec()).unwrap_or_default();
-        let change = self.store.begin_write().map_err(store)?;
-        {
+    /// One transaction, one sync. `afresh` replaces all that was kept. After a failure it may be called
+    /// again with the same: whether the first got through is looked up, not guessed.
+    pub fn append(&mut self, writes: &[repertory::Write], afresh: bool) -> Result<(), crate::Trouble> {
+        let bytes = encode(writes);
+        let next = self.next;
+        self.change(|change| {
             let mut journal = change.open_table(JOURNAL).map_err(store)?;
+            if journal.get(next).map_err(store)?.is_some() {
+                return Ok(());
+            }
             if afresh {
                 journal.retain(|_, _| false).map_err(store)?;
             }
-            journal.insert(self.next, bytes.as_slice()).map_err(store)?;
-        }
-        change.commit().map_err(store)?;
+            journal.insert(next, bytes.as_slice()).map_err(store)?;
+            Ok(())
+        })?;
         self.next += 1;
         Ok(())
     }
 
-    /// The seat changed hands in the log.
-    pub fn repin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
-        let change = self.store.begin_write().map_err(store)?;
-        change.open_table(PINS).map_err(store)?.insert(seat, identity).map_err(store)?;
+    /// A store that failed once answers nothing more: it is closed and opened again.
+    fn change(&mut self, work: impl FnOnce(&redb::WriteTransaction) -> Result<(), crate::Trouble>) -> Result<(), crate::Trouble> {
+        let database = match self.store.take() {
+            Some(database) => database,
+            None => (self.opener)()?,
+        };
+        let change = database.begin_write().map_err(store)?;
+        work(&change)?;
         change.commit().map_err(store)?;
+        self.store = Some(database);
+        Ok(())
+    }
+
+    fn write_pin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
+        self.change(|change| change.open_table(PINS).map_err(store)?.insert(seat, identity).map(drop).map_err(store))?;
         self.pins.insert(seat, identity);
         Ok(())
     }
 
+    /// The seat changed hands in the log.
+    pub fn repin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
+        self.write_pin(seat, identity)
+    }
+
     /// Binds a seat to the disk first met in it. Answers the identity held afterwards.
     pub fn pin(&mut self, seat: u16, identity: crate::Identity) -> Result<crate::Identity, crate::Trouble> {
         if let Some(held) = self.pins.get(&seat) {
             return Ok(*held);
         }
-        let change = self.store.begin_write().map_err(store)?;
-        change.open_table(PINS).map_err(store)?.insert(seat, identity).map_err(store)?;
-        change.commit().map_err(store)?;
-        self.pins.insert(seat, identity);
+        self.write_pin(seat, identity)?;
         Ok(identity)
     }
 }
 
-fn decode(bytes: &[u8]) -> Option<Vec<repertory::Write>> {
+const DIGEST: usize = 16;
+
+fn digest(bytes: &[u8]) -> Vec<u8> {
+    <sha2::Sha256 as sha2::Digest>::digest(bytes)[..DIGEST].to_vec()
+}
+
+/// A record begins with a digest of the rest: damage is noticed when it is read.
+fn encode(writes: &[repertory::Write]) -> Vec<u8> {
+    let bytes = rkyv::to_bytes::<rkyv::rancor::Error>(&writes.to_vec()).map(|bytes| bytes.to_vec()).unwrap_or_default();
+    [digest(&bytes), bytes].concat()
+}
+
+fn decode(record: &[u8]) -> Option<Vec<repertory::Write>> {
+    let (_, bytes) = record.split_at_checked(DIGEST).filter(|(told, bytes)| digest(bytes) == *told)?;
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
     rkyv::from_bytes::<Vec<repertory::Write>, rkyv::rancor::Error>(&aligned).ok()
@@ -120,8 +154,8 @@
         let identity = {
             let (mut shelf, found) = super::Shelf::open(&folder).expect("a new shelf");
             assert!(found.is_empty());
-            shelf.append(writes.clone(), false).expect("append");
-            shelf.append(vec![Write::Counter(3)], false).expect("append");
+            shelf.append(&writes, false).expect("append");
+            shelf.append(&[Write::Counter(3)], false).expect("append");
             assert_eq!(shelf.pin(1, 11).expect("pin"), 11);
             assert_eq!(shelf.pin(1, 12).expect("pin"), 11, "a seat stays with the disk first met");
             shelf.identity
@@ -129,7 +163,7 @@
         let (mut shelf, found) = super::Shelf::open(&folder).expect("the same shelf");
         assert_eq!((shelf.identity, shelf.pins.get(&1)), (identity, Some(&11)));
         assert_eq!(found, [writes, vec![Write::Counter(3)]].concat());
-        shelf.append(vec![Write::Index(9)], true).expect("afresh");
+        shelf.append(&[Write::Index(9)], true).expect("afresh");
         drop(shelf);
         assert_eq!(super::Shelf::open(&folder).expect("again").1, vec![Write::Index(9)]);
         std::fs::remove_dir_all(&folder).expect("clean");
