--- a/crates/stage/src/picker.rs
+++ b/crates/stage/src/picker.rs
@@ -85,3 +85,25 @@
         self.0.send(Command::Done(name.to_string(), bench)).await.unwrap_or_default();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn candidate(name: &str, slots: u32, near: bool) -> Candidate {
+        Candidate { name: name.into(), slots, near }
+    }
+
+    #[test]
+    fn the_own_zone_goes_first_then_load_by_slots_and_who_refused_waits() {
+        let mut picker = Picker::default();
+        let all = [candidate("far", 100, false), candidate("small", 2, true), candidate("large", 4, true)];
+        let picked: Vec<String> = (0..6).filter_map(|turn| picker.pick(0, &all, turn)).collect();
+        let count = |name: &str| picked.iter().filter(|held| *held == name).count();
+        assert_eq!((count("far"), count("small"), count("large")), (0, 2, 4));
+        picker.done(0, "large", true);
+        picker.done(0, "small", true);
+        assert_eq!(picker.pick(1, &all, 0).as_deref(), Some("far"), "both near ones sit on the bench");
+        assert!(picker.pick(BENCH + 1, &all, 0).is_some_and(|name| name != "far"));
+    }
+}
