A whole service down or slow; extra dispatches counted over the fleet; late dials send nothing

Cause: the budget was only tried alone, and a dispatch that waited for a dial left with its whole wait although its caller might have given up meanwhile (found by reading; the answer is now looked at, and the time of the dial taken off).

--- a/crates/rehearsal/src/figures.rs
+++ b/crates/rehearsal/src/figures.rs
@@ -15,6 +15,8 @@
     pub frames_across_zones: u64,
     pub bytes_across_zones: u64,
     pub seconds: f64,
+    /// Service to requests and extra dispatches, summed over the nodes at the end.
+    pub requests_and_extras: std::collections::BTreeMap<String, (u64, u64)>,
 }
 
 type Sums = std::collections::BTreeMap<&'static str, u64>;
@@ -38,6 +40,21 @@
     sums
 }
 
+/// What each usher spent of its budget of extra dispatches, and the sum.
+pub async fn extras(fleet: &Fleet) -> std::collections::BTreeMap<String, (u64, u64)> {
+    let mut sum = std::collections::BTreeMap::<String, (u64, u64)>::new();
+    for machine in &fleet.machines {
+        if let Some((200, status)) = fleet.get(&machine.local, "/status").await {
+            status["requests_and_extras"].as_object().into_iter().flatten().for_each(|(service, spent)| {
+                let held = sum.entry(service.clone()).or_default();
+                held.0 += spent[0].as_u64().unwrap_or(0);
+                held.1 += spent[1].as_u64().unwrap_or(0);
+            });
+        }
+    }
+    sum
+}
+
 fn add_traffic(add: &mut impl FnMut(&'static str, u64), status: &serde_json::Value) {
     let at = |place: usize, part: usize| status["traffic"][place][part].as_u64().unwrap_or(0);
     [("within_frames", 0, 0), ("within_bytes", 0, 1), ("across_frames", 1, 0), ("across_bytes", 1, 1)]
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -33,13 +33,18 @@
     }
     tokio::time::sleep_until(began + std::time::Duration::from_millis(scenario.length)).await;
     stage.settle();
+    let requests_and_extras = crate::figures::extras(&stage.fleet).await;
+    let nodes = stage.fleet.machines.len() as u64;
     stage.fleet.stop().await;
     let records = crate::history::read(&plan.folder).map_err(|error| error.to_string())?;
     let repeatable: Vec<&str> = deployment.lanes.iter().filter(|lane| lane.3).map(|lane| lane.2).collect();
     let allowed: Vec<(&str, &str)> = deployment.lanes.iter().map(|lane| (lane.0, lane.1)).collect();
     let report = crate::history::check(&records, &repeatable, &allowed, scenario.planned);
     let requests_per_second = report.figures.requests_per_second;
-    Ok(crate::history::Report { figures: crate::figures::Figures { requests_per_second, ..figures }, ..report })
+    let spent = requests_and_extras.iter().filter(|(_, (requests, extras))| *extras > requests / 5 + nodes);
+    let over = spent.map(|(service, (requests, extras))| format!("{service}: {extras} extra dispatches for {requests} requests")).collect();
+    let invariants = report.invariants.into_iter().chain([("extras_keep_to_their_budget".to_string(), over)]).collect();
+    Ok(crate::history::Report { figures: crate::figures::Figures { requests_per_second, requests_and_extras, ..figures }, invariants, ..report })
 }
 
 /// A core seat dies without a word after a third, a back end after two.
@@ -69,5 +74,6 @@
         frames_across_zones: grown("across_frames"),
         bytes_across_zones: grown("across_bytes"),
         seconds: (playbill::now() - began) as f64 / 1e6,
+        requests_and_extras: Default::default(),
     })
 }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -65,6 +65,8 @@
     "back-end-killed",
     "back-end-frozen",
     "back-ends-replaced",
+    "service-down",
+    "service-slow",
     "nodes-rolled",
     "core-rolled",
     "core-herd",
@@ -115,6 +117,19 @@
             });
             Scenario { planned: true, ..scenario("back-ends-replaced", 13_000, steps.collect()) }
         }
+        // The last third of the machines: a whole service at both sites.
+        "service-down" => {
+            let struck = machines * 2 / 3..machines;
+            let kills = struck.clone().map(|at| (2_000, Step::Kill(Who::BackEnd(at))));
+            let starts = struck.map(|at| (5_000, Step::Start(Who::BackEnd(at))));
+            scenario("service-down", 11_000, kills.chain(starts).collect())
+        }
+        "service-slow" => {
+            let struck = machines * 2 / 3..machines;
+            let stops = struck.clone().map(|at| (2_000, Step::Freeze(Who::BackEnd(at))));
+            let wakes = struck.map(|at| (2_900, Step::Wake(Who::BackEnd(at))));
+            scenario("service-slow", 9_000, stops.chain(wakes).collect())
+        }
         "nodes-rolled" => {
             let steps = (0..3).flat_map(|turn| {
                 let who = Who::Usher((at + turn) % machines);
--- a/crates/stage/src/budget.rs
+++ b/crates/stage/src/budget.rs
@@ -52,30 +52,51 @@
 }
 
 #[derive(Clone)]
-pub struct BudgetDesk(tokio::sync::mpsc::Sender<Command>);
+pub struct BudgetDesk {
+    commands: tokio::sync::mpsc::Sender<Command>,
+    spent: Spent,
+}
+
+/// Requests and extra dispatches by service since the start, for status pages.
+pub type Spent = std::sync::Arc<arc_swap::ArcSwap<std::collections::BTreeMap<String, (u64, u64)>>>;
 
 impl BudgetDesk {
     pub fn start(allowance: usize) -> Self {
         let (sender, mut commands) = tokio::sync::mpsc::channel(1_024);
+        let spent: Spent = Default::default();
+        let told = spent.clone();
         tokio::spawn(async move {
             let mut budget = Budget::new(allowance);
+            let mut counts = std::collections::BTreeMap::<String, (u64, u64)>::new();
             while let Some(command) = commands.recv().await {
                 match command {
-                    Command::First(service) => budget.first(playbill::now(), &service),
-                    Command::Extra(service, answer) => drop(answer.send(budget.extra(playbill::now(), &service)).is_ok()),
+                    Command::First(service) => {
+                        budget.first(playbill::now(), &service);
+                        counts.entry(service).or_default().0 += 1;
+                    }
+                    Command::Extra(service, answer) => {
+                        let granted = budget.extra(playbill::now(), &service);
+                        counts.entry(service).or_default().1 += granted as u64;
+                        answer.send(granted).unwrap_or_default();
+                    }
                 }
+                told.store(std::sync::Arc::new(counts.clone()));
             }
         });
-        BudgetDesk(sender)
+        BudgetDesk { commands: sender, spent }
+    }
+
+    pub fn spent(&self) -> std::sync::Arc<std::collections::BTreeMap<String, (u64, u64)>> {
+        self.spent.load_full()
     }
 
     pub async fn first(&self, service: &str) {
-        self.0.send(Command::First(service.to_string())).await.unwrap_or_default();
+        self.commands.send(Command::First(service.to_string())).await.unwrap_or_default();
     }
 
     pub async fn extra(&self, service: &str) -> bool {
         let (answer, granted) = tokio::sync::oneshot::channel();
-        self.0.send(Command::Extra(service.to_string(), answer)).await.unwrap_or_default();
+        self.commands.send(Command::Extra(service.to_string(), answer)).await.unwrap_or_default();
         granted.await.unwrap_or(false)
     }
 }
--- a/crates/stage/src/mates.rs
+++ b/crates/stage/src/mates.rs
@@ -21,7 +21,7 @@
 
 /// What waits for a conn that is being dialed has certainly not left.
 enum Line {
-    Dialing(Vec<(Box<wings::Dispatch>, u64, Answer)>),
+    Dialing(playbill::Micros, Vec<(Box<wings::Dispatch>, u64, Answer)>),
     Open { token: u64, life: u64, sender: wings::Sender, mark: u64, pending: std::collections::HashMap<u64, Answer> },
 }
 
@@ -93,12 +93,16 @@
         }
     }
 
-    fn call(&mut self, address: String, life: u64, dispatch: Box<wings::Dispatch>, answer: Answer) {
+    fn call(&mut self, address: String, life: u64, mut dispatch: Box<wings::Dispatch>, answer: Answer) {
         match self.lines.get_mut(&address) {
-            Some(Line::Dialing(waiting)) => waiting.push((dispatch, life, answer)),
+            Some(Line::Dialing(since, waiting)) => {
+                // Counted from the dial's beginning, so that what is left is never told too long.
+                dispatch.left += playbill::now() - *since;
+                waiting.push((dispatch, life, answer));
+            }
             Some(open @ Line::Open { .. }) => hand_over(open, dispatch, life, answer),
             None => {
-                self.lines.insert(address.clone(), Line::Dialing(vec![(dispatch, life, answer)]));
+                self.lines.insert(address.clone(), Line::Dialing(playbill::now(), vec![(dispatch, life, answer)]));
                 let (commands, greeting) = (self.commands.clone(), (self.greeting)());
                 tokio::spawn(async move {
                     let conn = wings::dial(&address, greeting).await;
@@ -109,13 +113,17 @@
     }
 
     fn dialed(&mut self, address: String, conn: Result<wings::Conn, wings::Trouble>) {
-        let Some(Line::Dialing(waiting)) = self.lines.remove(&address) else { return };
+        let Some(Line::Dialing(since, waiting)) = self.lines.remove(&address) else { return };
+        let waited = playbill::now() - since;
         match conn {
             Ok(conn) => {
                 self.tokens += 1;
                 let token = self.tokens;
                 let mut line = Line::Open { token, life: conn.greeting.incarnation, sender: conn.sender, mark: 0, pending: Default::default() };
-                waiting.into_iter().for_each(|(dispatch, life, answer)| hand_over(&mut line, dispatch, life, answer));
+                waiting.into_iter().for_each(|(mut dispatch, life, answer)| {
+                    dispatch.left = dispatch.left.saturating_sub(waited);
+                    hand_over(&mut line, dispatch, life, answer);
+                });
                 self.lines.insert(address.clone(), line);
                 tokio::spawn(listen(address, token, conn.receiver, self.commands.clone()));
             }
@@ -128,6 +136,10 @@
 
 fn hand_over(line: &mut Line, mut dispatch: Box<wings::Dispatch>, life: u64, answer: Answer) {
     let Line::Open { life: found, sender, pending, mark, .. } = line else { return };
+    if answer.is_closed() {
+        // Its caller has given up, so it need not leave at all.
+        return;
+    }
     dispatch.mark = *mark;
     if life != *found {
         let trouble = Trouble::new(Cause::Unreachable, "another life of the far usher answers there");
--- a/crates/usher/src/health.rs
+++ b/crates/usher/src/health.rs
@@ -6,6 +6,7 @@
     pub view: gallery::view::SharedView,
     pub known: gallery::Known,
     pub house: stage::HouseDesk,
+    pub budget: stage::budget::BudgetDesk,
     pub staying: std::sync::Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -52,6 +53,7 @@
         let answer = serde_json::json!({
             "name": self.0.name, "position": view.slice.position, "version": view.slice.version, "services": view.slice.services,
             "fresh_for_us": view.fresh_until.saturating_sub(playbill::now()), "running": running, "waiting": waiting, "traffic": wings::traffic::told(),
+            "requests_and_extras": *self.0.budget.spent(),
             "known": gallery::acquaint::list(&self.0.known),
         });
         lobby::json(response, 200, &answer);
--- a/crates/usher/src/node.rs
+++ b/crates/usher/src/node.rs
@@ -73,7 +73,14 @@
             calls: Default::default(),
         };
         let staying = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
-        let health = crate::health::Health { name: env.name.clone(), view: view.clone(), known, house: house.clone(), staying: staying.clone() };
+        let health = crate::health::Health {
+            name: env.name.clone(),
+            view: view.clone(),
+            known,
+            house: house.clone(),
+            budget: near.budget.clone(),
+            staying: staying.clone(),
+        };
         let rooms = greenroom::GreenroomEnv {
             node: env.name.clone(),
             zone: env.zone.clone(),
