--- a/crates/gallery/src/news.rs
+++ b/crates/gallery/src/news.rs
@@ -1,5 +1,16 @@
 //! What a core seat says to subscribers: slices, proofs, answers to forwarded entries (design 5.2, 6.2).
 
+/// What a subscriber that was last told `last` has to be told: nothing, a patch, or all.
+pub(crate) fn frame(last: &mut Option<playbill::Slice>, slice: playbill::Slice) -> Option<wings::Frame> {
+    let frame = match last.as_ref() {
+        Some(held) if held.services == slice.services && held.says_the_same(&slice) => return None,
+        Some(held) => wings::Frame::Patch(Box::new(held.patch_to(&slice))),
+        None => wings::Frame::News(Box::new(slice.clone())),
+    };
+    *last = Some(slice);
+    Some(frame)
+}
+
 /// Serves everyone who calls this core seat.
 pub async fn listen(core: crate::Core, listener: tokio::net::TcpListener) {
     loop {
@@ -53,7 +64,7 @@
                 Some(wings::Frame::Forward { number, entry }) => {
                     let (writer, answers) = (core.clone(), conn.sender.clone());
                     tokio::spawn(async move {
-                        let outcome = writer.submit(entry).await;
+                        let outcome = writer.submit(*entry).await;
                         drop(answers.send(wings::Frame::Answer { number, outcome }).await);
                     });
                     continue;
@@ -77,11 +88,10 @@
         // News goes before the proof that leans on it, on the same FIFO channel.
         let slice = playbill::Slice::cut(&core.book.load(), wanted);
         let position = slice.position;
-        if !last.as_ref().is_some_and(|held| held.services == slice.services && held.says_the_same(&slice)) {
-            last = Some(slice.clone());
-            if conn.sender.send(wings::Frame::News(slice)).await.is_err() {
-                return;
-            }
+        if let Some(news) = frame(&mut last, slice)
+            && conn.sender.send(news).await.is_err()
+        {
+            return;
         }
         if let Some(number) = number
             && conn.sender.send(wings::Frame::Proof { number, position }).await.is_err()
--- a/crates/gallery/src/relay.rs
+++ b/crates/gallery/src/relay.rs
@@ -26,12 +26,10 @@
                 return;
             }
             if view.slice.position >= held {
-                let slice = view.slice.narrowed(&wanted);
-                if !last.as_ref().is_some_and(|last| last.says_the_same(&slice)) {
-                    last = Some(slice.clone());
-                    if conn.sender.send(wings::Frame::News(slice)).await.is_err() {
-                        return;
-                    }
+                if let Some(news) = crate::news::frame(&mut last, view.slice.narrowed(&wanted))
+                    && conn.sender.send(news).await.is_err()
+                {
+                    return;
                 }
                 let done: Vec<u64> = asks.iter().filter(|(_, at)| *at <= asked).map(|(number, _)| *number).collect();
                 asks.retain(|(number, _)| !done.contains(number));
--- a/crates/gallery/src/reporting.rs
+++ b/crates/gallery/src/reporting.rs
@@ -73,7 +73,7 @@
 }
 
 async fn forward(conn: &mut wings::Conn, entry: &playbill::Entry) -> Option<playbill::Outcome> {
-    let frame = wings::Frame::Forward { number: entry.sequence, entry: entry.clone() };
+    let frame = wings::Frame::Forward { number: entry.sequence, entry: Box::new(entry.clone()) };
     conn.sender.send(frame).await.ok()?;
     loop {
         match conn.receiver.recv().await? {
--- a/crates/gallery/src/subscription.rs
+++ b/crates/gallery/src/subscription.rs
@@ -28,6 +28,8 @@
     direct: std::sync::Arc<std::sync::atomic::AtomicBool>,
     asks: std::collections::VecDeque<(u64, playbill::Micros)>,
     numbers: u64,
+    /// The view rests on what the present conn has told.
+    based: bool,
     /// A home that failed is passed over for a while.
     passed_over: Option<(String, playbill::Micros)>,
     logger: slog::Logger,
@@ -60,6 +62,7 @@
         direct: relay.direct.clone(),
         asks: Default::default(),
         numbers: 0,
+        based: false,
         passed_over: None,
         logger,
     };
@@ -106,6 +109,7 @@
 
     async fn attend(&mut self, mut conn: wings::Conn, home: Option<String>) {
         self.asks.clear();
+        self.based = false;
         let began = playbill::now();
         let mut fine = self.subscribe(&conn.sender).await;
         let mut proved = began;
@@ -150,19 +154,34 @@
         sender.send(wings::Frame::Subscribe { services, held }).await.is_ok()
     }
 
+    fn hold(&mut self, slice: playbill::Slice) {
+        match self.view.load().with_news(slice) {
+            Some(view) => {
+                let position = view.slice.position;
+                self.view.store(std::sync::Arc::new(view));
+                self.moved.send_replace(position);
+            }
+            // What this conn tells is not what is held: nothing more of it fits.
+            None => self.based = false,
+        }
+    }
+
     fn take(&mut self, frame: wings::Frame, proved: &mut playbill::Micros) {
         match frame {
             wings::Frame::News(slice) => {
-                if let Some(view) = self.view.load().with_news(slice) {
-                    let position = view.slice.position;
-                    self.view.store(std::sync::Arc::new(view));
-                    self.moved.send_replace(position);
-                }
+                self.based = true;
+                self.hold(*slice);
+            }
+            // A patch fits only on what this conn has told before.
+            wings::Frame::Patch(patch) if self.based => {
+                let slice = self.view.load().slice.patched(*patch);
+                self.hold(slice);
             }
             wings::Frame::Proof { number, position } => {
                 let asked = self.asks.iter().find(|(asked, _)| *asked == number).map(|(_, at)| *at);
                 self.asks.retain(|(asked, _)| *asked > number);
-                let next = asked.and_then(|asked| self.view.load().with_proof(asked, position, self.env.bound));
+                // Without a base a proof would vouch for what another conn told.
+                let next = asked.filter(|_| self.based).and_then(|asked| self.view.load().with_proof(asked, position, self.env.bound));
                 if let Some(view) = next {
                     self.view.store(std::sync::Arc::new(view));
                     self.moved.send_modify(|_| {});
--- a/crates/playbill/tests/book.rs
+++ b/crates/playbill/tests/book.rs
@@ -161,3 +161,32 @@
     assert_eq!(owed(Report::NodeLeft { node: "n0".into(), incarnation: 1, clean: true }), 0);
     assert!(owed(Report::NodeLeft { node: "n0".into(), incarnation: 1, clean: false }) > 0);
 }
+
+#[test]
+fn a_patch_makes_the_later_slice_of_the_earlier_one() {
+    props::drawn::<[(u8, u8); 24]>(200, |steps| {
+        let mut book = site();
+        let services: playbill::slice::Services = ["seat".to_string()].into_iter().collect();
+        let mut held = playbill::Slice::cut(&book, &services);
+        steps.iter().zip(10u64..).for_each(|((what, which), turn)| {
+            let name = format!("seat-{}", which % 4);
+            match what % 5 {
+                0 => drop(tell(&mut book, "n0", 1, turn, registered(&name, "n0", turn))),
+                1 => drop(tell(&mut book, "n0", 1, turn, Report::Phase { name, incarnation: *which as u64, phase: Phase::Draining })),
+                2 => drop(tell(&mut book, "n0", 1, turn, Report::NodeLeft { node: format!("n{}", which % 4), incarnation: 1, clean: true })),
+                3 => {
+                    let version = book.desired.version;
+                    drop(change(&mut book, &format!("c{turn}"), version, vec![order("take", "seat", "seat", &format!("/take{}", which % 3))]))
+                }
+                _ => {
+                    let version = book.desired.version;
+                    drop(change(&mut book, &format!("c{turn}"), version, vec![Edit::DropOrder { name: "take".into() }]))
+                }
+            }
+            let next = playbill::Slice::cut(&book, &services);
+            let patched = held.patched(held.patch_to(&next));
+            assert_eq!(patched, next);
+            held = patched;
+        });
+    });
+}
--- a/crates/stage/src/mates.rs
+++ b/crates/stage/src/mates.rs
@@ -146,7 +146,7 @@
         return drop(answer.send(Err(trouble)));
     }
     let number = dispatch.number;
-    match sender.try_send(wings::Frame::Dispatch(*dispatch)) {
+    match sender.try_send(wings::Frame::Dispatch(dispatch)) {
         Ok(()) => {
             pending.insert(number, answer);
         }
@@ -158,7 +158,7 @@
 async fn listen(address: String, token: u64, mut receiver: tokio::sync::mpsc::Receiver<wings::Frame>, commands: tokio::sync::mpsc::Sender<Command>) {
     while let Some(frame) = receiver.recv().await {
         let command = match frame {
-            wings::Frame::Reply { number, reply } => Command::Reply(address.clone(), token, number, reply),
+            wings::Frame::Reply { number, reply } => Command::Reply(address.clone(), token, number, *reply),
             wings::Frame::Mark(mark) => Command::Marked(address.clone(), token, mark),
             _ => continue,
         };
--- a/crates/stage/src/server.rs
+++ b/crates/stage/src/server.rs
@@ -53,7 +53,7 @@
                 let (far, replies) = (far.clone(), conn.sender.clone());
                 tokio::spawn(async move {
                     let number = dispatch.number;
-                    let reply = far.perform(dispatch).await;
+                    let reply = Box::new(far.perform(*dispatch).await);
                     replies.send(wings::Frame::Reply { number, reply }).await.unwrap_or_default();
                 });
             }
--- a/crates/wings/src/conn.rs
+++ b/crates/wings/src/conn.rs
@@ -87,3 +87,23 @@
     });
     Conn { greeting, sender, receiver }
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn a_beat_does_not_pay_for_the_largest_frame() {
+        let length = |frame: &crate::Frame| {
+            let mut out = Vec::new();
+            super::encode(frame, &mut out).expect("it fits");
+            out.len()
+        };
+        let core = |message| crate::Frame::Core(repertory::Frame { cursor: 1, message });
+        let lengths = [
+            length(&crate::Frame::Beat),
+            length(&crate::Frame::Ask { number: 1 }),
+            length(&crate::Frame::Proof { number: 1, position: 1 }),
+            length(&core(repertory::Message::Beat { applied: 1 })),
+        ];
+        assert!(lengths.iter().all(|length| *length <= 128), "{lengths:?}");
+    }
+}
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -74,9 +74,10 @@
     pub seal: String,
 }
 
+/// Large parts are boxed: a frame is as long as its longest part that is not.
 #[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Frame {
-    Greeting(Greeting),
+    Greeting(Box<Greeting>),
     Refusal(String),
     Known(Vec<CoreSeat>),
     Core(repertory::Frame),
@@ -87,7 +88,7 @@
     },
     Forward {
         number: u64,
-        entry: playbill::Entry,
+        entry: Box<playbill::Entry>,
     },
     Answer {
         number: u64,
@@ -98,7 +99,9 @@
         services: std::collections::BTreeSet<ServiceName>,
         held: Position,
     },
-    News(playbill::Slice),
+    News(Box<playbill::Slice>),
+    /// Against the last news or patch on this conn.
+    Patch(Box<playbill::Patch>),
     Ask {
         number: u64,
     },
@@ -109,10 +112,10 @@
     },
     Beat,
     Mark(u64),
-    Dispatch(Dispatch),
+    Dispatch(Box<Dispatch>),
     Reply {
         number: u64,
-        reply: Result<Reply, playbill::Trouble>,
+        reply: Box<Result<Reply, playbill::Trouble>>,
     },
     Look,
     Seen(Vec<u8>),
--- a/crates/wings/src/hail.rs
+++ b/crates/wings/src/hail.rs
@@ -27,9 +27,9 @@
     in_time(async {
         let (mut reader, mut writer) = halves(connect(address, &own.address).await?)?;
         let zone = own.zone.clone();
-        crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
+        crate::conn::write(&mut writer, &crate::Frame::Greeting(Box::new(own))).await?;
         match crate::conn::read(&mut reader).await? {
-            crate::Frame::Greeting(greeting) => Ok(crate::conn::run(&zone, greeting, reader, writer)),
+            crate::Frame::Greeting(greeting) => Ok(crate::conn::run(&zone, *greeting, reader, writer)),
             crate::Frame::Refusal(reason) => Err(crate::Trouble::Refused(reason)),
             _ => Err(crate::Trouble::Garbled),
         }
@@ -46,7 +46,7 @@
     in_time(async {
         let (mut reader, mut writer) = halves(stream)?;
         let greeting = match crate::conn::read(&mut reader).await {
-            Ok(crate::Frame::Greeting(greeting)) => greeting,
+            Ok(crate::Frame::Greeting(greeting)) => *greeting,
             Ok(_) => return Err(crate::Trouble::Garbled),
             Err(trouble) => {
                 crate::conn::write(&mut writer, &crate::Frame::Refusal(trouble.to_string())).await?;
@@ -56,7 +56,7 @@
         match judge(greeting.clone()).await {
             Ok(own) => {
                 let zone = own.zone.clone();
-                crate::conn::write(&mut writer, &crate::Frame::Greeting(own)).await?;
+                crate::conn::write(&mut writer, &crate::Frame::Greeting(Box::new(own))).await?;
                 Ok(crate::conn::run(&zone, greeting, reader, writer))
             }
             Err(reason) => {
