A flag's text stays text for names and places, and one seed is a list too

Cause: tried as a new user would: '--zone 1' was read as a number and refused, and '--seeds ADDRESS' without a comma was refused as no list.

Before: exit code 2 for both.

--- a/crates/playbill/src/env.rs
+++ b/crates/playbill/src/env.rs
@@ -22,7 +22,7 @@
         let flag: &'static str = Box::leak(format!("--{}", setting.replace('_', "-")).into_boxed_str());
         match arguments.opt_value_from_str::<_, String>(flag) {
             Ok(Some(text)) => {
-                values.insert(setting.to_string(), scalar(&text));
+                values.insert(setting.to_string(), value(setting, &text));
             }
             Ok(None) => {}
             Err(error) => faults.push(fault(flag, error.to_string())),
@@ -33,11 +33,17 @@
     if faults.is_empty() { Ok(Flags { values, check, file }) } else { Err(faults) }
 }
 
-/// A flag's text is a number, a yes or no, a list with commas, or plain text.
-fn scalar(text: &str) -> toml::Value {
-    if text.contains(',') {
+/// Settings whose text stays text, though it may look like a number: a zone may well be called 1.
+const TEXTS: [&str; 7] = ["name", "zone", "mates_address", "operators_address", "advertised_address", "local_address", "folder"];
+
+/// A flag's text is a list for seeds, plain text for names and places, else a number, a yes or no, or text.
+fn value(setting: &str, text: &str) -> toml::Value {
+    if setting == "seeds" {
         return toml::Value::Array(text.split(',').filter(|part| !part.is_empty()).map(|part| toml::Value::String(part.into())).collect());
     }
+    if TEXTS.contains(&setting) {
+        return toml::Value::String(text.into());
+    }
     text.parse::<i64>()
         .map(toml::Value::Integer)
         .or_else(|_| text.parse::<bool>().map(toml::Value::Boolean))
