--- a/crates/playbill/src/env.rs
+++ b/crates/playbill/src/env.rs
@@ -84,3 +84,26 @@
         .map(|_| ())
         .map_err(|()| validator::ValidationError::new("level").with_message("is critical, error, warning, info, debug or trace".into()))
 }
+
+/// What every daemon does before it runs: help, version, settings, `--check`. `None`: that was all.
+pub fn begin<T: serde::de::DeserializeOwned + validator::Validate>(program: &str, help: &str, names: &[&'static str]) -> Option<(Flags, T)> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{help}");
+        return None;
+    }
+    if arguments.contains("--version") {
+        println!("{program} {}", env!("CARGO_PKG_VERSION"));
+        return None;
+    }
+    let settings = flags(arguments, names).and_then(|flags| load(&flags).map(|settings| (flags, settings)));
+    let (flags, settings) = settings.unwrap_or_else(|faults| {
+        tell(program, &faults);
+        std::process::exit(EXIT_USAGE)
+    });
+    if flags.check {
+        println!("{program}: the settings are fine");
+        return None;
+    }
+    Some((flags, settings))
+}
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -22,21 +22,7 @@
 ";
 
 fn main() {
-    let mut arguments = pico_args::Arguments::from_env();
-    if arguments.contains("--help") {
-        return print!("{HELP}");
-    }
-    if arguments.contains("--version") {
-        return println!("usher {}", env!("CARGO_PKG_VERSION"));
-    }
-    let settings = playbill::env::flags(arguments, env::NAMES).and_then(|flags| playbill::env::load::<env::Env>(&flags).map(|env| (flags, env)));
-    let (flags, env) = settings.unwrap_or_else(|faults| {
-        playbill::env::tell("usher", &faults);
-        std::process::exit(playbill::env::EXIT_USAGE)
-    });
-    if flags.check {
-        return println!("usher: the settings are fine");
-    }
+    let Some((flags, env)) = playbill::env::begin::<env::Env>("usher", HELP, env::NAMES) else { return };
     let runtime = tokio::runtime::Runtime::new();
     let ended = runtime.map_err(|error| error.to_string()).and_then(|runtime| runtime.block_on(run(flags, env)));
     if let Err(trouble) = ended {
