Fences noted once per news, not per request; three pieces said twice are one

'repin' was a second name for a private twin, 'window()' only wrapped a constant, and the news compared the services that 'says_the_same' compares.

Not measured.

--- a/crates/gallery/src/news.rs
+++ b/crates/gallery/src/news.rs
@@ -3,7 +3,7 @@
 /// What a subscriber that was last told `last` has to be told: nothing, a patch, or all.
 pub(crate) fn frame(last: &mut Option<playbill::Slice>, slice: playbill::Slice) -> Option<wings::Frame> {
     let frame = match last.as_ref() {
-        Some(held) if held.services == slice.services && held.says_the_same(&slice) => return None,
+        Some(held) if held.says_the_same(&slice) => return None,
         Some(held) => wings::Frame::Patch(Box::new(held.patch_to(&slice))),
         None => wings::Frame::News(Box::new(slice.clone())),
     };
--- a/crates/repertory/src/tenure.rs
+++ b/crates/repertory/src/tenure.rs
@@ -6,7 +6,7 @@
     /// Not for the seat's earlier or later holder, and not so far ahead that a change of holders
     /// could have been missed.
     pub(crate) fn may_vote(&self, instance: Instance) -> bool {
-        instance >= self.vote_from && instance <= self.vote_until && instance < self.carried_out + self.tuning.window()
+        instance >= self.vote_from && instance <= self.vote_until && instance < self.carried_out + WINDOW
     }
 
     /// A new disk in an old seat begins after `upto`, with its first own instance there.
--- a/crates/repertory/src/words.rs
+++ b/crates/repertory/src/words.rs
@@ -163,7 +163,8 @@
     ReadReady(ReadToken),
 }
 
-/// Eight times the largest β allowed: a change of holders takes effect this far ahead (design 4.4).
+/// Nobody promises or accepts further than this above what it has applied, so that whoever votes above a
+/// change of holders by more has applied the change. Eight times the largest β allowed (design 4.4).
 pub const WINDOW: Instance = 1_000_000;
 
 /// Settings of the ordering. Defaults and their reasons: design 3.7.
@@ -179,14 +180,6 @@
     pub stuck_revoke: Micros,
 }
 
-impl Tuning {
-    /// Nobody promises or accepts further than this above what it has applied, so that whoever votes
-    /// above a change of holders by more has applied the change (design 4.4).
-    pub fn window(&self) -> Instance {
-        WINDOW
-    }
-}
-
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -74,6 +74,8 @@
     pub(crate) tries: crate::tries::Tries,
     /// When each key term was first seen here with its fence.
     pub(crate) fences: std::collections::BTreeMap<(String, u16), (playbill::Position, Micros)>,
+    /// The slice whose terms `fences` was last brought up to.
+    pub(crate) fenced: std::sync::Arc<playbill::Slice>,
     pub(crate) runs: u64,
     pub(crate) leaving: bool,
     pub(crate) outbox: Vec<Report>,
@@ -81,7 +83,16 @@
 
 impl House {
     pub fn new(env: HouseEnv) -> Self {
-        House { env, places: Default::default(), tries: Default::default(), fences: Default::default(), runs: 0, leaving: false, outbox: Vec::new() }
+        House {
+            env,
+            places: Default::default(),
+            tries: Default::default(),
+            fences: Default::default(),
+            fenced: Default::default(),
+            runs: 0,
+            leaving: false,
+            outbox: Vec::new(),
+        }
     }
 
     /// Holds the name for a new life. A live registration is never taken over.
--- a/crates/stage/src/house_pump.rs
+++ b/crates/stage/src/house_pump.rs
@@ -134,15 +134,26 @@
         self.outbox.extend(reports);
     }
 
-    fn notice_terms(&mut self, now: Micros, view: &gallery::View, reports: &mut Vec<Report>) {
-        let position = view.slice.position;
-        view.slice.terms.iter().for_each(|(service, terms)| {
-            terms.iter().zip(0u16..).for_each(|(term, at)| {
+    /// Once for each slice of news, not for each request.
+    fn notice_fences(&mut self, now: Micros, view: &gallery::View) {
+        if std::sync::Arc::ptr_eq(&self.fenced, &view.slice) {
+            return;
+        }
+        self.fenced = view.slice.clone();
+        view.slice.terms.iter().flat_map(|(service, terms)| terms.iter().zip(0u16..).map(move |(term, at)| (service, term, at))).for_each(
+            |(service, term, at)| {
                 let held = self.fences.entry((service.clone(), at)).or_insert((term.fence, now));
                 if held.0 != term.fence {
                     *held = (term.fence, now);
                 }
-            });
+            },
+        );
+    }
+
+    fn notice_terms(&mut self, now: Micros, view: &gallery::View, reports: &mut Vec<Report>) {
+        let position = view.slice.position;
+        self.notice_fences(now, view);
+        view.slice.terms.iter().for_each(|(service, terms)| {
             self.places.values_mut().filter(|place| place.registration.service == *service).for_each(|place| {
                 let name = place.registration.name.clone();
                 let holder = (name.clone(), place.incarnation);
--- a/crates/vault/src/shelf.rs
+++ b/crates/vault/src/shelf.rs
@@ -103,23 +103,19 @@
         Ok(())
     }
 
-    fn write_pin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
+    /// The seat changed hands in the log.
+    pub fn repin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
         self.change(|change| change.open_table(PINS).map_err(store)?.insert(seat, identity).map(drop).map_err(store))?;
         self.pins.insert(seat, identity);
         Ok(())
     }
 
-    /// The seat changed hands in the log.
-    pub fn repin(&mut self, seat: u16, identity: crate::Identity) -> Result<(), crate::Trouble> {
-        self.write_pin(seat, identity)
-    }
-
     /// Binds a seat to the disk first met in it. Answers the identity held afterwards.
     pub fn pin(&mut self, seat: u16, identity: crate::Identity) -> Result<crate::Identity, crate::Trouble> {
         if let Some(held) = self.pins.get(&seat) {
             return Ok(*held);
         }
-        self.write_pin(seat, identity)?;
+        self.repin(seat, identity)?;
         Ok(identity)
     }
 }
