Beats' slots and keys are taken up, ungrouped back ends drop out, keyed orders take whole services

Causes, each found by reading: a beat's slots and keys were read and dropped; a keyed order with labels, or kept in its zone, left keys whose holder it does not take, so nobody served them; a back end whose grouping was taken away was never told and could still send in its service's name. A beat with a wrong service or zone was refused but counted as heard. Registration and stopping polled.

After: slots hold at once at the usher and move keys in the log, wrong claims are answered and counted, `ungrouped` back ends get and send nothing, and such orders get a named fault.

--- a/crates/greenroom/src/rooms.rs
+++ b/crates/greenroom/src/rooms.rs
@@ -11,6 +11,11 @@
     pub house: stage::HouseDesk,
     pub reports: gallery::Reports,
     pub view: gallery::view::SharedView,
+    /// Moves with all news and proofs.
+    pub moved: tokio::sync::watch::Receiver<playbill::Position>,
+    /// Slices that back ends claimed in beats and do not hold.
+    pub claims: std::sync::Arc<std::sync::atomic::AtomicU64>,
+    pub logger: slog::Logger,
 }
 
 #[derive(serde::Deserialize)]
@@ -117,16 +122,12 @@
 
 /// A back end that has its answer can send at once: the news of its own service is here.
 async fn until_seen(env: &GreenroomEnv, position: playbill::Position, service: &str) {
-    let seen = async {
-        loop {
-            let view = env.view.load();
-            if view.slice.position >= position && view.slice.services.contains(service) && view.fresh(playbill::now()) {
-                return;
-            }
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(std::time::Duration::from_secs(2), seen).await.unwrap_or_default();
+    let mut moved = env.moved.clone();
+    let seen = moved.wait_for(|_| {
+        let view = env.view.load();
+        view.slice.position >= position && view.slice.services.contains(service) && view.fresh(playbill::now())
+    });
+    drop(tokio::time::timeout(std::time::Duration::from_secs(2), seen).await);
 }
 
 #[salvo::handler]
@@ -137,14 +138,36 @@
             Ok(ask) => ask,
             Err(fault) => return lobby::trouble(response, None, &bad(fault.fault)),
         };
+        if ask.slots > 4_096 {
+            return lobby::trouble(response, None, &bad("slots is from 0 to 4096"));
+        }
         let said = self.0.house.sender(&secret).is_some_and(|known| known.service == ask.service) && ask.zone == self.0.zone;
-        let Some(name) = self.0.house.beat(&secret, ask.state == State::Draining).await.filter(|_| said) else {
+        let beaten = if said { self.0.house.beat(&secret, ask.state == State::Draining, Some(ask.slots)).await } else { None };
+        let Some(name) = beaten else {
             let gone = serde_json::json!({ "cause": "unknown_registration", "detail": "register again" });
             return lobby::json(response, 410, &gone);
         };
-        let answer = serde_json::json!({ "name": name, "slots": ask.slots, "terms": terms(&self.0, &name, &ask.service), "held": ask.keys.len() });
-        lobby::json(response, 200, &answer);
+        let terms = terms(&self.0, &name, &ask.service);
+        let let_go = let_go(&self.0, &name, &ask.keys, &terms);
+        let standing = standing(&self.0, &name);
+        lobby::json(response, 200, &serde_json::json!({ "name": name, "slots": ask.slots, "standing": standing, "terms": terms, "let_go": let_go }));
+    }
+}
+
+/// What the log says of it: a phase, or that no grouping holds it any more.
+fn standing(env: &GreenroomEnv, name: &str) -> serde_json::Value {
+    let view = env.view.load();
+    view.slice.back_ends.get(name).map(|held| serde_json::json!(held.phase)).unwrap_or_else(|| "ungrouped".into())
+}
+
+/// Claimed but not held. A claim never makes a holder: it is only compared, counted and answered.
+fn let_go(env: &GreenroomEnv, name: &str, claimed: &[u16], terms: &[serde_json::Value]) -> Vec<u16> {
+    let wrong: Vec<u16> = claimed.iter().copied().filter(|slice| !terms.iter().any(|term| term["slice"] == *slice)).collect();
+    if !wrong.is_empty() {
+        env.claims.fetch_add(wrong.len() as u64, std::sync::atomic::Ordering::Relaxed);
+        slog::warn!(env.logger, "claims keys it does not hold"; "back_end" => name, "slices" => ?wrong);
     }
+    wrong
 }
 
 /// The slices this life holds, with their fences and how long the holding lasts without news.
@@ -165,7 +188,7 @@
 #[salvo::handler]
 impl Drain {
     async fn handle(&self, request: &mut salvo::Request, response: &mut salvo::Response) {
-        let drained = self.0.house.beat(&lobby::bearer(request).unwrap_or_default(), true).await;
+        let drained = self.0.house.beat(&lobby::bearer(request).unwrap_or_default(), true, None).await;
         lobby::json(response, if drained.is_some() { 200 } else { 410 }, &serde_json::json!({ "draining": drained }));
     }
 }
--- a/crates/playbill/src/check.rs
+++ b/crates/playbill/src/check.rs
@@ -99,7 +99,19 @@
         }
         .unwrap_or_default()
     });
-    count.into_iter().chain(bad_names).chain(twice).chain(fields).collect()
+    let keyed = edits.iter().enumerate().flat_map(|(at, edit)| match edit {
+        Edit::PutOrder { order, .. } if order.keyed => half_keyed(&format!("edits[{at}].order"), order),
+        _ => Vec::new(),
+    });
+    count.into_iter().chain(bad_names).chain(twice).chain(fields).chain(keyed).collect()
+}
+
+/// Keys are placed over the whole service: an order for a part of it would have keys that nobody it names holds.
+fn half_keyed(path: &str, order: &Order) -> Vec<Fault> {
+    let labels = (!order.selector.labels.is_empty())
+        .then(|| fault(format!("{path}.selector.labels"), "a keyed order takes every back end of its service: make a service of those with these labels"));
+    let zone = (!order.leave_zone).then(|| fault(format!("{path}.leave_zone"), "a keyed order follows its key into any zone"));
+    labels.into_iter().chain(zone).collect()
 }
 
 /// Faults of the edits against a state: decided alike wherever the entry is applied.
--- a/crates/playbill/src/standing.rs
+++ b/crates/playbill/src/standing.rs
@@ -78,6 +78,12 @@
         incarnation: Incarnation,
         through: Position,
     },
+    /// A beat named another number of slots.
+    Slots {
+        name: BackEndName,
+        incarnation: Incarnation,
+        slots: u32,
+    },
 }
 
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
--- a/crates/playbill/src/standing_rules.rs
+++ b/crates/playbill/src/standing_rules.rs
@@ -47,6 +47,11 @@
             }
             Ok(())
         }
+        Report::Slots { name, incarnation, slots } => {
+            let current = book.standing.back_ends.get_mut(&name).filter(|held| held.incarnation == incarnation);
+            current.into_iter().for_each(|held| held.slots = slots);
+            Ok(())
+        }
         Report::Released { service, name, incarnation, through } => {
             if let Some(held) = book.terms.get_mut(&service) {
                 *held = terms::release(held, &(name, incarnation), through);
--- a/crates/rehearsal/src/sim/mesh.rs
+++ b/crates/rehearsal/src/sim/mesh.rs
@@ -181,7 +181,7 @@
             Strike::Silence(at) => self.nodes[at].beats = false,
             Strike::Drain(at) => {
                 let (now, secret) = (self.now, self.nodes[at].secret.clone());
-                if !self.nodes[at].frozen && self.nodes[at].house.beat(now, &secret, true).is_some() {
+                if !self.nodes[at].frozen && self.nodes[at].house.beat(now, &secret, true, None).is_some() {
                     let process = self.nodes[at].process;
                     self.drained.insert(process, now);
                 }
--- a/crates/rehearsal/src/sim/mesh_events.rs
+++ b/crates/rehearsal/src/sim/mesh_events.rs
@@ -47,7 +47,7 @@
             }
             Event::Beat(at) => {
                 let secret = self.nodes[at].secret.clone();
-                let known = self.nodes[at].beats && self.nodes[at].house.beat(now, &secret, false).is_some();
+                let known = self.nodes[at].beats && self.nodes[at].house.beat(now, &secret, false, None).is_some();
                 if !known {
                     self.come_again(at);
                 }
--- a/crates/rehearsal/src/understudy.rs
+++ b/crates/rehearsal/src/understudy.rs
@@ -122,13 +122,14 @@
             let try_prefix = answer["try_prefix"].as_str().map(str::to_string).unwrap_or_else(|| format!("{}.{}.", part.name, answer["incarnation"]));
             given.send_replace(crate::audience::Pass { secret: secret.clone(), try_prefix });
             let pause = std::time::Duration::from_micros(answer["beat_every_us"].as_u64().unwrap_or(300_000));
-            let beat = serde_json::json!({ "service": part.service, "zone": part.zone, "slots": part.slots, "state": "serving", "keys": [] });
+            let mut keys: Vec<serde_json::Value> = Vec::new();
             loop {
                 tokio::time::sleep(pause).await;
+                let beat = serde_json::json!({ "service": part.service, "zone": part.zone, "slots": part.slots, "state": "serving", "keys": keys });
                 let beaten = http.post(format!("{usher}/beat")).bearer_auth(&secret).json(&beat).send().await;
-                if !beaten.is_ok_and(|response| response.status().is_success()) {
-                    break;
-                }
+                let Some(told) = beaten.ok().filter(|response| response.status().is_success()) else { break };
+                let told: serde_json::Value = told.json().await.unwrap_or_default();
+                keys = told["terms"].as_array().into_iter().flatten().map(|term| term["slice"].clone()).collect();
             }
         }
         tokio::time::sleep(std::time::Duration::from_millis(200)).await;
--- a/crates/stage/src/calls.rs
+++ b/crates/stage/src/calls.rs
@@ -4,7 +4,7 @@
 
 /// One word holds both the count and whether new calls are refused, so no call slips between.
 #[derive(Clone, Default)]
-pub struct Calls(std::sync::Arc<std::sync::atomic::AtomicUsize>);
+pub struct Calls(std::sync::Arc<std::sync::atomic::AtomicUsize>, std::sync::Arc<tokio::sync::Notify>);
 
 pub struct UnderWay(Calls);
 
@@ -19,6 +19,17 @@
         self.0.fetch_or(LEAVING, std::sync::atomic::Ordering::AcqRel);
     }
 
+    /// Returns once nothing is under way; call it after `leave`.
+    pub async fn ended(&self) {
+        loop {
+            let told = self.1.notified();
+            if self.under_way() == 0 {
+                return;
+            }
+            told.await;
+        }
+    }
+
     pub fn under_way(&self) -> usize {
         self.0.load(std::sync::atomic::Ordering::Acquire) & !LEAVING
     }
@@ -27,6 +38,7 @@
 impl Drop for UnderWay {
     fn drop(&mut self) {
         self.0.0.fetch_sub(1, std::sync::atomic::Ordering::AcqRel);
+        self.0.1.notify_waiters();
     }
 }
 
--- a/crates/stage/src/house.rs
+++ b/crates/stage/src/house.rs
@@ -46,6 +46,8 @@
     pub running: std::collections::BTreeMap<u64, Option<String>>,
     pub waiting: Vec<Waiter>,
     pub told_released: playbill::Position,
+    /// What the log was last told.
+    pub told_slots: u32,
     /// Lives this very back end had before the log took it for gone; their runs are counted here too.
     pub earlier: Vec<Incarnation>,
 }
@@ -115,6 +117,7 @@
         });
         let held = self.places.get(&registration.name);
         let incarnation = wall.max(held.map(|held| held.incarnation + 1).unwrap_or(0));
+        let told_slots = registration.slots;
         let place = Place {
             registration,
             incarnation,
@@ -126,6 +129,7 @@
             running: Default::default(),
             waiting: Vec::new(),
             told_released: 0,
+            told_slots,
             earlier: Vec::new(),
         };
         self.places.insert(place.registration.name.clone(), place);
@@ -147,11 +151,12 @@
         }
     }
 
-    /// A beat counts only with the secret of this life.
-    pub fn beat(&mut self, now: Micros, secret: &str, draining: bool) -> Option<String> {
+    /// A beat counts only with the secret of this life. Other slots than before hold here at once.
+    pub fn beat(&mut self, now: Micros, secret: &str, draining: bool, slots: Option<u32>) -> Option<String> {
         let place = self.places.values_mut().find(|place| place.secret == secret && place.stand != Stand::Gone)?;
         place.heard = now;
         place.draining |= draining;
+        slots.into_iter().for_each(|slots| place.registration.slots = slots);
         if place.draining && place.stand == Stand::Live {
             place.stand = Stand::Draining;
             let (name, incarnation) = (place.registration.name.clone(), place.incarnation);
--- a/crates/stage/src/house_pump.rs
+++ b/crates/stage/src/house_pump.rs
@@ -127,7 +127,11 @@
                 place.earlier.push(place.incarnation);
                 place.incarnation += 1;
                 place.stand = Stand::Pending;
+                place.told_slots = place.registration.slots;
                 reports.push(Report::Registered { name, back_end: place.back_end(&self.env.node) });
+            } else if place.told_slots != place.registration.slots {
+                place.told_slots = place.registration.slots;
+                reports.push(Report::Slots { name, incarnation: place.incarnation, slots: place.told_slots });
             }
         });
         self.notice_terms(now, view, &mut reports);
--- a/crates/stage/src/house_task.rs
+++ b/crates/stage/src/house_task.rs
@@ -10,7 +10,7 @@
     Reserve(Registration, String, Answer<Result<Incarnation, Trouble>>),
     Confirm(String, Incarnation, bool),
     BackEnd(String, Answer<Option<playbill::BackEnd>>),
-    Beat(String, bool, Answer<Option<String>>),
+    Beat(String, bool, Option<u32>, Answer<Option<String>>),
     SignOff(String, Answer<bool>),
     Enter(Box<wings::Dispatch>, Answer<Entered>),
     Done(Permit, bool),
@@ -34,6 +34,7 @@
 pub struct HouseDesk {
     commands: tokio::sync::mpsc::Sender<Command>,
     senders: std::sync::Arc<arc_swap::ArcSwap<Senders>>,
+    running: tokio::sync::watch::Receiver<usize>,
 }
 
 impl HouseDesk {
@@ -46,10 +47,11 @@
         logger: slog::Logger,
     ) -> Self {
         let (commands, buffer) = tokio::sync::mpsc::channel(4_096);
-        let desk = HouseDesk { commands, senders: Default::default() };
+        let (ran, running) = tokio::sync::watch::channel(0);
+        let desk = HouseDesk { commands, senders: Default::default(), running };
         let (outbox, outgoing) = tokio::sync::mpsc::unbounded_channel();
         tokio::spawn(report(outgoing, reports, desk.clone(), logger));
-        let owner = Owner { house: House::new(env), view, waiting: Default::default(), tickets: 0, senders: desk.senders.clone(), services, outbox };
+        let owner = Owner { house: House::new(env), view, waiting: Default::default(), tickets: 0, senders: desk.senders.clone(), services, outbox, ran };
         tokio::spawn(owner.run(buffer, moved));
         desk
     }
@@ -76,8 +78,8 @@
         self.ask(|answer| Command::BackEnd(name.to_string(), answer)).await.flatten()
     }
 
-    pub async fn beat(&self, secret: &str, draining: bool) -> Option<String> {
-        self.ask(|answer| Command::Beat(secret.to_string(), draining, answer)).await.flatten()
+    pub async fn beat(&self, secret: &str, draining: bool, slots: Option<u32>) -> Option<String> {
+        self.ask(|answer| Command::Beat(secret.to_string(), draining, slots, answer)).await.flatten()
     }
 
     pub async fn sign_off(&self, secret: &str) -> bool {
@@ -96,6 +98,11 @@
         self.commands.send(Command::Leave).await.unwrap_or_default();
     }
 
+    /// After `leave`: nothing that was passed on is still at work.
+    pub async fn ended(&self) {
+        drop(self.running.clone().wait_for(|running| *running == 0).await);
+    }
+
     /// Running and waiting.
     pub async fn load(&self) -> (usize, usize) {
         self.ask(Command::Load).await.unwrap_or_default()
@@ -114,6 +121,7 @@
     senders: std::sync::Arc<arc_swap::ArcSwap<Senders>>,
     services: tokio::sync::watch::Sender<playbill::slice::Services>,
     outbox: tokio::sync::mpsc::UnboundedSender<playbill::standing::Report>,
+    ran: tokio::sync::watch::Sender<usize>,
 }
 
 impl Owner {
@@ -131,6 +139,8 @@
             }
             let granted = self.house.pump(playbill::now(), &self.view.load());
             self.answer(granted);
+            let running = self.house.running();
+            self.ran.send_if_modified(|told| std::mem::replace(told, running) != running);
             self.house.reports().into_iter().for_each(|report| self.outbox.send(report).unwrap_or_default());
         }
     }
@@ -158,7 +168,7 @@
                 self.publish();
             }
             Command::BackEnd(name, answer) => answer.send(self.house.back_end(&name)).unheard(),
-            Command::Beat(secret, draining, answer) => answer.send(self.house.beat(now, &secret, draining)).unheard(),
+            Command::Beat(secret, draining, slots, answer) => answer.send(self.house.beat(now, &secret, draining, slots)).unheard(),
             Command::SignOff(secret, answer) => {
                 answer.send(self.house.sign_off(&secret)).unheard();
                 self.publish();
--- a/crates/stage/src/near.rs
+++ b/crates/stage/src/near.rs
@@ -32,8 +32,9 @@
 }
 
 impl Near {
-    pub fn under_way(&self) -> usize {
-        self.calls.under_way()
+    /// After `leave`: every call that was under way has its answer.
+    pub async fn ended(&self) {
+        self.calls.ended().await;
     }
 
     pub fn leave(&self) {
@@ -73,6 +74,12 @@
         if !view.fresh(began) {
             return Err(Trouble::new(Cause::NotFresh, "no proof that the state held here is current").later(500_000));
         }
+        if !view.slice.services.contains(&sender.service) {
+            return Err(Trouble::new(Cause::NotFresh, "the news of the sender's own service is still on its way").later(100_000));
+        }
+        if !view.slice.back_ends.contains_key(&sender.name) {
+            return Err(Trouble::new(Cause::NoLane, format!("no grouping holds {:?} any more, so it speaks for no service", sender.name)));
+        }
         let lane = view.slice.lane(&sender.service, &ask.service, &ask.method, &ask.path);
         let Some((lane, order)) = lane.map(|(name, order)| (name.clone(), order.clone())) else {
             return Err(Trouble::new(Cause::NoLane, format!("no standing order lets {:?} send this to {:?}", sender.service, ask.service)));
@@ -108,6 +115,7 @@
                 // Once one dispatch may have run, no later refusal makes the try not run.
                 return Err(may_have_run.unwrap_or(trouble));
             }
+            slog::info!(self.far.logger, "dispatched again"; "service" => &ask.service, "at" => playbill::now(), "after" => trouble.cause.code());
         }
     }
 
--- a/crates/stage/tests/house.rs
+++ b/crates/stage/tests/house.rs
@@ -1,80 +1,10 @@
 //! The last check and the buffers, with the time told to them (design 5.3, 5.7, 7.3).
 
-use playbill::{Cause, Order, Phase, Selector, Verdict, standing::Report, terms::Term};
-use stage::house::{Permit, Registration};
-use stage::{House, HouseEnv};
+mod scene;
 
-const SECOND: u64 = 1_000_000;
-
-struct Scene {
-    house: House,
-    view: gallery::View,
-    life: u64,
-    tickets: u64,
-}
-
-fn order(path: &str, importance: u8, keyed: bool) -> Order {
-    let selector = Selector { from: vec!["desk".into()], service: "seat".into(), methods: vec![], path_prefix: path.into(), labels: Default::default() };
-    Order { selector, wait_us: 3 * SECOND, importance, repeatable: false, keyed, leave_zone: true }
-}
-
-impl Scene {
-    fn new(slots: u32) -> Scene {
-        let env = HouseEnv { node: "n0".into(), zone: "z0".into(), beat_patience: 60 * SECOND, bound: 1_500_000, guard: 250_000 };
-        let mut scene = Scene { house: House::new(env), view: Default::default(), life: 0, tickets: 0 };
-        let registration =
-            Registration { name: "seat-0".into(), service: "seat".into(), zone: "z0".into(), labels: Default::default(), slots, address: "127.0.0.1:9".into() };
-        scene.life = scene.house.reserve(0, 100, registration, "secret".into()).expect("the name is free");
-        scene.house.confirm(0, "seat-0", scene.life, true);
-        let orders = [("plain", order("/plain", 5, false)), ("dear", order("/dear", 9, false)), ("keyed", order("/keyed", 5, true))];
-        let orders = orders.into_iter().map(|(name, order)| (name.to_string(), order)).collect();
-        let back_end = scene.house.back_end("seat-0").expect("registered");
-        let mut slice = playbill::Slice { position: 5, orders, ..Default::default() };
-        slice.back_ends.insert("seat-0".into(), back_end);
-        let term = Term { holder: Some(("seat-0".into(), scene.life)), fence: 5, owed: vec![] };
-        slice.terms.insert("seat".into(), vec![term; playbill::terms::SLICES as usize]);
-        slice.longest.insert("seat".into(), 3 * SECOND);
-        scene.view = gallery::View { slice: std::sync::Arc::new(slice), fresh_until: 1_000 * SECOND };
-        scene
-    }
-
-    fn edit(&mut self, edit: impl FnOnce(&mut playbill::Slice)) {
-        edit(std::sync::Arc::make_mut(&mut self.view.slice));
-    }
-
-    fn dispatch(&self, try_id: &str, path: &str) -> wings::Dispatch {
-        wings::Dispatch {
-            number: 0,
-            try_id: try_id.into(),
-            ordinal: 0,
-            sender_service: "desk".into(),
-            lane: String::new(),
-            service: "seat".into(),
-            back_end: "seat-0".into(),
-            incarnation: self.life,
-            method: "POST".into(),
-            path: path.into(),
-            query: String::new(),
-            headers: vec![],
-            body: vec![],
-            key: (path == "/keyed").then(|| "k".to_string()),
-            fence: (path == "/keyed").then_some(5),
-            left: 3 * SECOND,
-            importance: if path == "/dear" { 9 } else { 5 },
-            mark: 0,
-        }
-    }
-
-    fn enter(&mut self, now: u64, dispatch: wings::Dispatch) -> Vec<(u64, Result<Permit, playbill::Trouble>)> {
-        self.tickets += 1;
-        self.house.enter(now, &self.view, self.tickets, dispatch)
-    }
-
-    fn cause(&mut self, now: u64, dispatch: wings::Dispatch) -> Option<Cause> {
-        let entered = self.enter(now, dispatch);
-        entered.into_iter().next().and_then(|(_, entered)| entered.err()).map(|trouble| trouble.cause)
-    }
-}
+use playbill::{Cause, Phase, Verdict, standing::Report, terms::Term};
+use scene::{SECOND, Scene};
+use stage::house::Registration;
 
 #[test]
 fn each_reason_against_passing_on_is_found_at_the_last_check() {
@@ -94,7 +24,7 @@
     assert_eq!(scene.cause(at, good.clone()), None);
     assert_eq!(scene.cause(at, good), Some(Cause::DuplicateTry), "passed on once already");
     assert_eq!(Cause::DuplicateTry.verdict(), Verdict::MayHaveRun);
-    assert_eq!(scene.house.beat(at, "secret", true).as_deref(), Some("seat-0"));
+    assert_eq!(scene.house.beat(at, "secret", true, None).as_deref(), Some("seat-0"));
     let late = scene.dispatch("late", "/plain");
     assert_eq!(scene.cause(at, late), Some(Cause::Draining));
 }
@@ -237,10 +167,10 @@
     scene.edit(|slice| slice.back_ends.values_mut().for_each(|held| held.phase = Phase::PresumedGone));
     drop(scene.house.pump(SECOND, &scene.view));
     drop(scene.house.reports());
-    assert!(scene.house.beat(SECOND, "secret", true).is_some());
+    assert!(scene.house.beat(SECOND, "secret", true, None).is_some());
     scene.life += 1;
     scene.house.confirm(SECOND, "seat-0", scene.life, true);
-    scene.house.beat(SECOND, "secret", false);
+    scene.house.beat(SECOND, "secret", false, None);
     let back_end = scene.house.back_end("seat-0").expect("registered again");
     scene.edit(|slice| drop(slice.back_ends.insert("seat-0".into(), back_end)));
     let late = scene.dispatch("late", "/plain");
--- a/crates/usher/src/health.rs
+++ b/crates/usher/src/health.rs
@@ -7,6 +7,8 @@
     pub known: gallery::Known,
     pub house: stage::HouseDesk,
     pub budget: stage::budget::BudgetDesk,
+    pub claims: std::sync::Arc<std::sync::atomic::AtomicU64>,
+    pub life: u64,
     pub staying: std::sync::Arc<std::sync::atomic::AtomicBool>,
 }
 
@@ -51,7 +53,8 @@
         let view = self.0.view.load();
         let (running, waiting) = self.0.house.load().await;
         let answer = serde_json::json!({
-            "name": self.0.name, "position": view.slice.position, "version": view.slice.version, "services": view.slice.services,
+            "name": self.0.name, "life": self.0.life, "position": view.slice.position, "version": view.slice.version, "services": view.slice.services,
+            "keys_claimed_unheld": self.0.claims.load(std::sync::atomic::Ordering::Relaxed),
             "fresh_for_us": view.fresh_until.saturating_sub(playbill::now()), "running": running, "waiting": waiting, "traffic": wings::traffic::told(),
             "requests_and_extras": *self.0.budget.spent(),
             "known": gallery::acquaint::list(&self.0.known),
--- a/crates/usher/src/node.rs
+++ b/crates/usher/src/node.rs
@@ -54,7 +54,8 @@
             bound: env.freshness_us,
             guard: env.guard_us,
         };
-        let view = subscription.view;
+        let (view, moved) = (subscription.view, subscription.moved.clone());
+        let claims: std::sync::Arc<std::sync::atomic::AtomicU64> = Default::default();
         let house = stage::HouseDesk::start(house_env, view.clone(), subscription.moved, reports.clone(), services, logger.clone());
         let door = greenroom::Door::new().map_err(|error| told("http", &error))?;
         let far = stage::Far { house: house.clone(), door: std::sync::Arc::new(door), logger: logger.clone() };
@@ -79,6 +80,8 @@
             known,
             house: house.clone(),
             budget: near.budget.clone(),
+            claims: claims.clone(),
+            life,
             staying: staying.clone(),
         };
         let rooms = greenroom::GreenroomEnv {
@@ -89,6 +92,9 @@
             house: house.clone(),
             reports: reports.clone(),
             view: view.clone(),
+            moved,
+            claims,
+            logger: logger.clone(),
         };
         let router = salvo::Router::new().push(crate::health::router(health)).push(foyer::router(near.clone(), house.clone())).push(greenroom::router(rooms));
         let serving = lobby::Serving::start(&env.local_address, router).await.map_err(|error| told("local_address", &error))?;
@@ -104,9 +110,10 @@
         self.house.leave().await;
         let patience = std::time::Duration::from_micros(env.stop_patience_us);
         let ended = async {
-            while self.house.load().await.0 + self.near.under_way() > 0 {
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            }
+            self.near.ended().await;
+            // What mates passed on here ends after its own near side has left.
+            self.house.load().await;
+            self.house.ended().await;
         };
         let clean = tokio::time::timeout(patience, ended).await.is_ok();
         let farewell = self.reports.tell(playbill::standing::Report::NodeLeft { node: self.name.clone(), incarnation: self.life, clean });
