A signal that comes early no longer ends a daemon; a killed back end is told apart by its process

Cause: the daemons took up SIGTERM and SIGHUP after they had said 'listening', so a reload in between ended the process. Seen once, as a test that then waited for ever for a line that could not come. Excluded: the log (its queue is emptied at the end) and the reload itself (it had not been reached).

After: handlers come first, and the test says so if the process ends.

--- a/crates/playbill/tests/book.rs
+++ b/crates/playbill/tests/book.rs
@@ -1,52 +1,9 @@
 //! The state machine: repeats, races, faults, and who is presumed gone (design 2).
 
-use playbill::{Act, BackEnd, Book, Change, Edit, Entry, Grouping, Order, Outcome, Phase, Selector, standing::Report};
+mod site;
 
-fn grouping(service: &str) -> Edit {
-    let grouping = Grouping { service: service.into(), zone: "z0".into(), labels: Default::default() };
-    Edit::PutGrouping { name: format!("{service}-z0"), grouping }
-}
-
-fn order(name: &str, from: &str, service: &str, path: &str) -> Edit {
-    let selector = Selector { from: vec![from.into()], service: service.into(), methods: vec![], path_prefix: path.into(), labels: Default::default() };
-    let order = Order { selector, wait_us: 1_000_000, importance: 5, repeatable: false, keyed: false, leave_zone: true };
-    Edit::PutOrder { name: name.into(), order }
-}
-
-fn change(book: &mut Book, id: &str, base: u64, edits: Vec<Edit>) -> Outcome {
-    let act = Act::Change(Change { id: id.into(), base, edits });
-    book.apply(Entry { origin: "core-0".into(), life: 1, sequence: 0, act })
-}
-
-fn tell(book: &mut Book, origin: &str, life: u64, sequence: u64, report: Report) -> Outcome {
-    book.apply(Entry { origin: origin.into(), life, sequence, act: Act::Standing(report) })
-}
-
-fn node(name: &str, incarnation: u64) -> Report {
-    Report::Node { node: name.into(), zone: "z0".into(), address: "127.0.0.1:1".into(), incarnation }
-}
-
-fn registered(name: &str, node: &str, incarnation: u64) -> Report {
-    let back_end = BackEnd {
-        service: "seat".into(),
-        zone: "z0".into(),
-        labels: Default::default(),
-        slots: 4,
-        node: node.into(),
-        incarnation,
-        phase: Phase::Registered,
-        since: 0,
-    };
-    Report::Registered { name: name.into(), back_end }
-}
-
-fn site() -> Book {
-    let mut book = Book::default();
-    let accepted = change(&mut book, "site", 0, vec![grouping("seat"), order("check", "seat", "seat", "/check")]);
-    assert!(matches!(accepted, Outcome::Accepted { version: 1, .. }), "{accepted:?}");
-    (0..4u64).for_each(|at| assert!(matches!(tell(&mut book, &format!("n{at}"), 1, 1, node(&format!("n{at}"), 1)), Outcome::Accepted { .. })));
-    book
-}
+use playbill::{Book, Edit, Outcome, Phase, standing::Report};
+use site::{change, grouping, order, registered, site, tell};
 
 #[test]
 fn a_change_sent_again_has_its_first_answer_and_no_second_effect() {
@@ -141,93 +98,6 @@
     assert_eq!(Book::from_bytes(&book.to_bytes()), Some(book));
 }
 
-#[test]
-fn a_node_that_left_clean_owes_nothing_and_one_that_vanished_does() {
-    let owed = |report: Report| {
-        let mut book = site();
-        let mut keyed = order("take", "seat", "seat", "/take");
-        if let Edit::PutOrder { order, .. } = &mut keyed {
-            order.keyed = true;
-        }
-        change(&mut book, "keyed", 1, vec![keyed]);
-        tell(&mut book, "n0", 1, 2, registered("seat-0", "n0", 10));
-        tell(&mut book, "n1", 1, 2, registered("seat-1", "n1", 10));
-        tell(&mut book, "n0", 1, 3, report);
-        let terms = &book.terms["seat"];
-        assert!(terms.iter().all(|term| term.holder.as_ref().is_some_and(|(name, _)| name == "seat-1")));
-        assert!(terms.iter().all(|term| term.fence <= book.position));
-        terms.iter().filter(|term| !term.owed.is_empty()).count()
-    };
-    assert_eq!(owed(Report::NodeLeft { node: "n0".into(), incarnation: 1, clean: true }), 0);
-    assert!(owed(Report::NodeLeft { node: "n0".into(), incarnation: 1, clean: false }) > 0);
-}
-
-#[test]
-fn a_keyed_order_takes_the_whole_service_or_is_refused() {
-    let refused = |spoil: fn(&mut Order)| {
-        let mut book = site();
-        let mut edit = order("take", "seat", "seat", "/take");
-        if let Edit::PutOrder { order, .. } = &mut edit {
-            order.keyed = true;
-            spoil(order);
-        }
-        match change(&mut book, "keyed", 1, vec![edit]) {
-            Outcome::Invalid { faults } => faults.into_iter().map(|fault| fault.path).collect(),
-            _ => Vec::new(),
-        }
-    };
-    assert_eq!(refused(|order| drop(order.selector.labels.insert("kind".into(), "large".into()))), ["edits[0].order.selector.labels"]);
-    assert_eq!(refused(|order| order.leave_zone = false), ["edits[0].order.leave_zone"]);
-    assert_eq!(refused(|_| ()), Vec::<String>::new());
-}
-
-fn keyed_site() -> Book {
-    let mut book = site();
-    let mut keyed = order("take", "seat", "seat", "/take");
-    if let Edit::PutOrder { order, .. } = &mut keyed {
-        order.keyed = true;
-    }
-    change(&mut book, "keyed", 1, vec![keyed]);
-    tell(&mut book, "n0", 1, 2, registered("seat-0", "n0", 10));
-    tell(&mut book, "n1", 1, 2, registered("seat-1", "n1", 10));
-    book
-}
-
-fn held(book: &Book, name: &str) -> usize {
-    book.terms["seat"].iter().filter(|term| term.holder.as_ref().is_some_and(|(holder, _)| holder == name)).count()
-}
-
-#[test]
-fn slots_said_in_a_beat_move_keys_in_proportion() {
-    let mut book = keyed_site();
-    assert_eq!((held(&book, "seat-0"), held(&book, "seat-1")), (32, 32));
-    let slots = |incarnation, slots| Report::Slots { name: "seat-0".into(), incarnation, slots };
-    assert!(matches!(tell(&mut book, "n0", 1, 3, slots(9, 12)), Outcome::Unchanged { .. }), "an earlier life says nothing");
-    tell(&mut book, "n0", 1, 4, slots(10, 12));
-    assert_eq!((held(&book, "seat-0"), held(&book, "seat-1")), (48, 16));
-    tell(&mut book, "n0", 1, 5, slots(10, 0));
-    assert_eq!((held(&book, "seat-0"), held(&book, "seat-1")), (0, 64));
-}
-
-#[test]
-fn a_grouping_taken_away_takes_its_back_ends_out_and_their_keys_move() {
-    let mut book = keyed_site();
-    let labelled = |value: &str| {
-        let labels = [("rack".to_string(), value.to_string())].into_iter().collect();
-        Edit::PutGrouping { name: "seat-z0".into(), grouping: Grouping { service: "seat".into(), zone: "z0".into(), labels } }
-    };
-    let accepted = change(&mut book, "relabel", 2, vec![labelled("b")]);
-    assert!(matches!(accepted, Outcome::Accepted { .. }), "{accepted:?}");
-    let services: playbill::slice::Services = ["seat".to_string()].into_iter().collect();
-    let slice = playbill::Slice::cut(&book, &services);
-    assert!(slice.back_ends.is_empty(), "nobody is offered that no grouping holds");
-    assert!(book.terms["seat"].iter().all(|term| term.holder.is_none() && !term.owed.is_empty()), "and what they held is owed");
-    assert!(matches!(tell(&mut book, "n2", 1, 2, registered("seat-2", "n2", 10)), Outcome::Refused { .. }));
-    let back = Edit::PutGrouping { name: "seat-z0".into(), grouping: Grouping { service: "seat".into(), zone: "z0".into(), labels: Default::default() } };
-    change(&mut book, "back", 3, vec![back]);
-    assert_eq!(held(&book, "seat-0") + held(&book, "seat-1"), 64);
-}
-
 #[test]
 fn a_patch_makes_the_later_slice_of_the_earlier_one() {
     props::drawn::<[(u8, u8); 24]>(200, |steps| {
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -31,6 +31,9 @@
 async fn run(flags: playbill::env::Flags, env: env::Env) -> Result<(), String> {
     let dial = playbill::log::Dial::new(env.level());
     let (logger, _guard) = playbill::log::start("prompter", &env.name, dial.clone());
+    // Before anything else: a signal that comes early must not end the process.
+    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let mut reload = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).map_err(|error| error.to_string())?;
     let told = |what: &str, error: &dyn std::fmt::Display| format!("{what}: {error}");
     let mates = tokio::net::TcpListener::bind(&env.mates_address).await.map_err(|error| told("mates_address", &error))?;
     let address = mates.local_addr().map_err(|error| told("mates_address", &error))?.to_string();
@@ -40,8 +43,6 @@
     let serving = lobby::Serving::start(&env.operators_address, boxoffice::router(office)).await.map_err(|error| told("operators_address", &error))?;
     slog::info!(logger, "listening"; "mates" => address, "operators" => serving.address.to_string());
     tokio::spawn(gallery::news::listen(core, mates));
-    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
-    let mut reload = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).map_err(|error| error.to_string())?;
     loop {
         tokio::select! {
             _ = stop.recv() => break,
--- a/crates/rehearsal/src/promises.rs
+++ b/crates/rehearsal/src/promises.rs
@@ -43,7 +43,7 @@
         .collect()
 }
 
-/// Two and a half seconds after a back end said it was leaving, that life begins nothing new.
+/// Two and a half seconds after a back end said it was leaving, that process begins nothing new.
 pub(crate) fn after_leaving(records: &[Record]) -> Vec<String> {
     let leavings = records.iter().filter_map(|record| match record {
         Record::Leaving { by, at } => Some((by, *at)),
@@ -52,11 +52,12 @@
     leavings
         .flat_map(|(leaver, left)| {
             let began = records.iter().filter_map(move |record| match record {
-                Record::Began { try_id, by, life, at, .. } if by == leaver => Some((try_id, *life, *at)),
+                Record::Began { try_id, by, process, at, .. } if by == leaver => Some((try_id, *process, *at)),
                 _ => None,
             });
-            let last_life = began.clone().filter(|(_, _, at)| *at <= left).map(|(_, life, _)| life).max();
-            let late = began.filter(move |(_, life, at)| *at > left + IN_FORCE && Some(*life) <= last_life);
+            // The process that left; its successor of the same name may begin what it likes.
+            let left_process = began.clone().filter(|(_, _, at)| *at <= left).max_by_key(|(_, _, at)| *at).map(|(_, process, _)| process);
+            let late = began.filter(move |(_, process, at)| *at > left + IN_FORCE && Some(*process) == left_process);
             late.map(move |(try_id, ..)| format!("{try_id} at {leaver}")).collect::<Vec<_>>()
         })
         .collect()
--- a/crates/rehearsal/tests/programs.rs
+++ b/crates/rehearsal/tests/programs.rs
@@ -126,22 +126,23 @@
     let words = ["--config".to_string(), config.display().to_string()];
     let mut usher = rehearsal::process::Process::start(&folder, "usher", "usher", &words).expect("an usher");
     let log = || std::fs::read_to_string(folder.join("usher.log")).unwrap_or_default();
-    let until = |word: &str| {
+    let until = |usher: &mut rehearsal::process::Process, word: &str| {
         while !log().contains(word) {
+            assert!(usher.ended().is_none() || log().contains(word), "it ended before it said {word:?}: {}", log());
             std::thread::yield_now();
         }
     };
-    until("listening");
+    until(&mut usher, "listening");
     std::fs::write(&config, fine.replace("127.0.0.1:1", "nowhere")).expect("a file");
     usher.signal(rustix::process::Signal::HUP);
-    until("the old ones stay");
+    until(&mut usher, "the old ones stay");
     // The fault is named in the same line, which may still be on its way.
-    until("seeds");
+    until(&mut usher, "seeds");
     std::fs::write(&config, fine.to_string() + "log_level = \"debug\"\n").expect("a file");
     usher.signal(rustix::process::Signal::HUP);
-    until("settings read again");
+    until(&mut usher, "settings read again");
     usher.signal(rustix::process::Signal::TERM);
-    until("stopped");
+    until(&mut usher, "stopped");
     while usher.ended().is_none() {
         std::thread::yield_now();
     }
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -34,9 +34,10 @@
 async fn run(flags: playbill::env::Flags, env: env::Env) -> Result<(), String> {
     let dial = playbill::log::Dial::new(env.level());
     let (logger, _guard) = playbill::log::start("usher", &env.name, dial.clone());
-    let node = node::Node::start(&env, &logger).await?;
+    // Before anything else: a signal that comes early must not end the process.
     let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut reload = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup()).map_err(|error| error.to_string())?;
+    let node = node::Node::start(&env, &logger).await?;
     loop {
         tokio::select! {
             _ = stop.recv() => break,
