An empty machine takes the core seat over by itself once its holder has been away

Cause: the users write labels and selectors, nothing more, and forget the site for months; but a wiped or replaced core machine stayed refused until an operator named its disk. Three such losses over the months, or one and two dead machines, stopped the core.

Excluded: letting a wiped disk vote as its old self (a majority may have forgotten a change), and waiting in the node rather than the log (two machines could then both believe it). Found on the way: a caller made an emptied disk at the old address pin its mates and begin to 'vote' alone; it names whom it expects now.

--- a/crates/boxoffice/tests/operators.rs
+++ b/crates/boxoffice/tests/operators.rs
@@ -18,6 +18,7 @@
         folder: folder.join(number.to_string()),
         tuning: Default::default(),
         snapshot_every: 100,
+        replace_after: 500_000,
     };
     let core = gallery::Core::start(env, playbill::log::quiet()).expect("a core seat");
     tokio::spawn(gallery::news::listen(core.clone(), mates));
@@ -153,3 +154,31 @@
 async fn seat_again(folder: &std::path::Path, seeds: Vec<String>) -> (Seat, String) {
     seat(&folder.join("emptied"), 0, 3, seeds).await
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_disk_takes_its_seat_over_by_itself_once_the_holder_is_gone() {
+    let folder = folder("knock");
+    let (first, address) = seat(&folder, 0, 3, vec![]).await;
+    let (second, next) = seat(&folder, 1, 3, vec![address.clone()]).await;
+    // The third seat lives in a runtime of its own, which ends as its machine does.
+    let machine = tokio::runtime::Runtime::new().expect("a runtime");
+    let (place, seeds) = (folder.clone(), vec![address.clone(), next.clone()]);
+    let (third, _) = machine.spawn(async move { seat(&place, 2, 3, seeds).await }).await.expect("a seat");
+    for seat in [&first, &second, &third] {
+        until_started(seat).await;
+    }
+    assert_eq!(post(&first, change("site", 0, site())).await.0, 200);
+    machine.shutdown_background();
+    drop(third);
+    let (empty, _) = seat(&folder.join("emptied"), 2, 3, vec![address, next]).await;
+    until_started(&empty).await;
+    // With one of the two others gone, nothing is accepted without the new disk's vote: it has one, and what was accepted before.
+    let state = client().get(format!("http://{}/v1/desired", empty.serving.address)).send().await.expect("an answer");
+    let state: serde_json::Value = state.json().await.expect("JSON");
+    assert_eq!(state["version"].as_u64(), Some(1), "{state}");
+    // The other seats bind theirs to the new disk as they come past the change; the old one counts no more.
+    while second.core.pins.load().get(&2) != Some(&empty.core.identity().1) {
+        tokio::task::yield_now().await;
+    }
+    std::fs::remove_dir_all(folder).expect("clean");
+}
--- a/crates/callboard/src/compare.rs
+++ b/crates/callboard/src/compare.rs
@@ -24,6 +24,8 @@
         address: String::new(),
         incarnation: 0,
         core: None,
+        blank: false,
+        expects: None,
         known: Vec::new(),
     };
     let seen = async {
--- a/crates/gallery/src/core.rs
+++ b/crates/gallery/src/core.rs
@@ -11,6 +11,8 @@
     pub folder: std::path::PathBuf,
     pub tuning: repertory::Tuning,
     pub snapshot_every: u64,
+    /// How long a seat's holder must be away before an empty disk that asks for the seat gets it; 0 is never.
+    pub replace_after: playbill::Micros,
 }
 
 /// What `/ready` and status pages say.
@@ -45,6 +47,8 @@
     /// The holders are on disk.
     Repinned(Vec<(u16, u64)>, Option<u64>),
     Refused(String),
+    /// An empty disk asks for a seat that another disk holds.
+    Knocked(u16, u64),
     Tick,
 }
 
@@ -60,6 +64,8 @@
     pub(crate) identity: u64,
     /// Which disk holds each other seat.
     pub pins: std::sync::Arc<arc_swap::ArcSwap<vault::Pins>>,
+    /// This disk had kept nothing when the process began.
+    pub(crate) blank: bool,
     pub(crate) life: u64,
     pub(crate) sequence: std::sync::Arc<std::sync::atomic::AtomicU64>,
     pub(crate) logger: slog::Logger,
@@ -84,6 +90,7 @@
             state: Default::default(),
             known: crate::acquaint::nobody(),
             identity,
+            blank: writes.is_empty(),
             pins: std::sync::Arc::new(arc_swap::ArcSwap::from_pointee(pins.clone())),
             life: playbill::clock::wall(),
             sequence: Default::default(),
@@ -121,6 +128,8 @@
             address: self.env.address.clone(),
             incarnation: self.life,
             core: Some((self.env.seat, self.env.seats, self.identity)),
+            blank: self.blank && !self.state.load().started,
+            expects: None,
             known: crate::acquaint::list(&self.known),
         }
     }
--- a/crates/gallery/src/core_link.rs
+++ b/crates/gallery/src/core_link.rs
@@ -8,9 +8,11 @@
     (core.env.seat + 1..core.env.seats).for_each(|seat| {
         tokio::spawn(keep_dialing(core.clone(), seat));
     });
-    let (greeter, seats) = (core.clone(), core.env.seats as usize);
+    // Until this seat votes it asks often, as an empty disk is let in by whoever it asks.
+    let (greeter, asker) = (core.clone(), core.clone());
+    let seats = move || if asker.state.load().started { asker.env.seats as usize } else { usize::MAX };
     let greeting = move || greeter.greeting(wings::Purpose::Acquaint);
-    tokio::spawn(crate::acquaint::run(core.known.clone(), core.env.seeds.clone(), greeting, move || seats));
+    tokio::spawn(crate::acquaint::run(core.known.clone(), core.env.seeds.clone(), greeting, seats));
 }
 
 async fn keep_dialing(core: Core, seat: u16) {
@@ -23,9 +25,10 @@
             told.max_by_key(|place| place.started).cloned()
         };
         if let Some(place) = place {
-            match wings::dial(&place.address, core.greeting(wings::Purpose::Core)).await {
+            let own = wings::Greeting { expects: holder, ..core.greeting(wings::Purpose::Core) };
+            match wings::dial(&place.address, own).await {
                 Ok(conn) if conn.greeting.core.map(|(told, seats, _)| (told, seats)) == Some((seat, core.env.seats)) => {
-                    if bind(&core, &conn.greeting).await.is_ok() {
+                    if bind(&core, &conn.greeting).await.is_ok() && expected(&core, &conn.greeting) {
                         attend(&core, conn).await;
                     }
                 }
@@ -39,8 +42,27 @@
     }
 }
 
+/// Whoever calls another disk than this one is answered, so that it learns whom it found, and no more is said.
+pub(crate) fn expected(core: &Core, greeting: &wings::Greeting) -> bool {
+    greeting.expects.is_none_or(|wanted| wanted == core.identity)
+}
+
+/// An empty disk asks for a seat that is another's here (design 4.4).
+pub(crate) async fn mind_knock(core: &Core, greeting: &wings::Greeting) {
+    let asks = greeting.core.filter(|(seat, seats, _)| greeting.blank && *seats == core.env.seats && *seat != core.env.seat);
+    if let Some((seat, _, identity)) = asks
+        && core.pins.load().get(&seat).is_some_and(|held| *held != identity)
+    {
+        drop(core.commands.send(Command::Knocked(seat, identity)).await);
+    }
+}
+
 /// The first disk met in a seat is written down before anything is said to it.
 pub(crate) async fn bind(core: &Core, greeting: &wings::Greeting) -> Result<(), String> {
+    if !expected(core, greeting) {
+        return Ok(());
+    }
+    mind_knock(core, greeting).await;
     let (seat, seats, identity) = greeting.core.ok_or("only core seats may open this channel")?;
     if seats != core.env.seats || seat >= seats || seat == core.env.seat {
         return Err(format!("seat {seat} of {seats} does not fit seat {} of {}", core.env.seat, core.env.seats));
--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -21,6 +21,9 @@
     pub(crate) state: CoreState,
     pub(crate) admitted: Option<u64>,
     pub(crate) leapt: playbill::Micros,
+    /// Seats without a channel, since when; and when a change of holder was last asked for.
+    pub(crate) away: std::collections::BTreeMap<u16, playbill::Micros>,
+    pub(crate) asked_for: playbill::Micros,
 }
 
 impl Owner {
@@ -43,6 +46,8 @@
             state,
             admitted: None,
             leapt: 0,
+            away: (0..core.env.seats).map(|seat| (seat, playbill::now())).collect(),
+            asked_for: 0,
         }
     }
 
@@ -99,10 +104,12 @@
                 slog::warn!(self.core.logger, "disk"; "trouble" => trouble.as_deref().unwrap_or("over"));
                 self.state.disk = trouble;
             }
+            Command::Knocked(seat, identity) => self.knocked(now, seat, identity),
             Command::Tick if self.machine.is_none() => {}
             command if self.machine.is_none() => self.held.push(command),
             Command::Opened(seat, token, sender) => {
                 self.state.refused = None;
+                self.away.remove(&seat);
                 if self.conns.insert(seat, (token, sender)).is_some() {
                     self.step(now, repertory::Input::Closed(seat));
                 }
@@ -116,6 +123,7 @@
             Command::Closed(seat, token) => {
                 if self.conns.get(&seat).is_some_and(|(current, _)| *current == token) {
                     self.conns.remove(&seat);
+                    self.away.insert(seat, now);
                     self.step(now, repertory::Input::Closed(seat));
                 }
             }
@@ -166,6 +174,7 @@
                 if sent == Some(false) {
                     // A mate that does not keep up loses the channel; the next one begins with a resync.
                     self.conns.remove(&seat);
+                    self.away.insert(seat, playbill::now());
                     self.step(playbill::now(), repertory::Input::Closed(seat));
                 }
             }
--- a/crates/gallery/src/news.rs
+++ b/crates/gallery/src/news.rs
@@ -27,12 +27,14 @@
         match greeting.purpose {
             wings::Purpose::Core => crate::core_link::bind(&judge, &greeting).await?,
             wings::Purpose::Call | wings::Purpose::Watch => return Err("a core seat takes neither requests nor beats".into()),
-            wings::Purpose::Acquaint | wings::Purpose::Subscribe | wings::Purpose::Look => {}
+            wings::Purpose::Acquaint => crate::core_link::mind_knock(&judge, &greeting).await,
+            wings::Purpose::Subscribe | wings::Purpose::Look => {}
         }
         Ok(judge.greeting(greeting.purpose))
     })
     .await;
     match accepted {
+        Ok(conn) if !crate::core_link::expected(&core, &conn.greeting) => drop(conn),
         Ok(conn) if conn.greeting.purpose == wings::Purpose::Core => crate::core_link::attend(&core, conn).await,
         Ok(conn) if conn.greeting.purpose == wings::Purpose::Acquaint => drop(conn),
         Ok(conn) => serve(core, conn).await,
--- a/crates/gallery/src/tenure.rs
+++ b/crates/gallery/src/tenure.rs
@@ -34,6 +34,21 @@
         self.repin(pins, Some(upto));
     }
 
+    /// An empty disk asks for a seat whose holder this seat has not heard for long: the log decides, as it
+    /// would for an operator. A disk that ever kept something is not empty, so none comes back by itself.
+    pub(crate) fn knocked(&mut self, now: playbill::Micros, seat: u16, identity: u64) {
+        let patience = self.core.env.replace_after;
+        let holder = self.pins.get(&seat).copied().filter(|holder| *holder != identity);
+        let away = self.away.get(&seat).is_some_and(|since| now >= since + patience);
+        let pending = self.book.seats.get(&seat).is_some_and(|(held, _)| *held == identity);
+        let Some(from) = holder.filter(|_| patience > 0 && away && !pending && self.machine.is_some() && now >= self.asked_for + patience) else { return };
+        self.asked_for = now;
+        slog::warn!(self.core.logger, "an empty disk asks for a seat whose holder is away"; "seat" => seat, "holder" => from, "disk" => identity);
+        let change = playbill::Act::Seat(playbill::SeatChange { seat, from, to: identity });
+        let entry = playbill::entry::to_bytes(&self.core.own_entry(change));
+        self.step(now, repertory::Input::Submit(entry));
+    }
+
     fn repin(&self, pins: Vec<(u16, u64)>, admitted: Option<u64>) {
         let (commands, kept) = (self.core.commands.clone(), pins.clone());
         let done = Box::new(move |fine| {
--- a/crates/prompter/src/env.rs
+++ b/crates/prompter/src/env.rs
@@ -14,6 +14,7 @@
     "tau_us",
     "beta",
     "snapshot_every",
+    "replace_after_us",
     "log_level",
 ];
 
@@ -50,6 +51,10 @@
     #[serde(default = "snapshot_every")]
     #[validate(range(min = 10, max = 1_000_000, message = "is from 10 to 1000000 entries"))]
     pub snapshot_every: u64,
+    /// An empty disk takes a seat over whose holder has been away so long; 0 leaves it to operators.
+    #[serde(default = "replace_after")]
+    #[validate(custom(function = "replaces"))]
+    pub replace_after_us: u64,
     #[serde(default = "log_level")]
     #[validate(custom(function = "playbill::env::is_level"))]
     pub log_level: String,
@@ -71,6 +76,15 @@
     500
 }
 
+fn replace_after() -> u64 {
+    3_000_000
+}
+
+fn replaces(after: u64) -> Result<(), validator::ValidationError> {
+    let fine = after == 0 || (500_000..=3_600_000_000).contains(&after);
+    fine.then_some(()).ok_or_else(|| validator::ValidationError::new("after").with_message("is 0, or from 500000 to 3600000000 microseconds".into()))
+}
+
 fn log_level() -> String {
     "info".into()
 }
@@ -96,6 +110,7 @@
             folder: self.folder.clone(),
             tuning: repertory::Tuning { alpha: self.alpha, tau: self.tau_us, beta: self.beta, ..Default::default() },
             snapshot_every: self.snapshot_every,
+            replace_after: self.replace_after_us,
         }
     }
 }
--- a/crates/prompter/src/main.rs
+++ b/crates/prompter/src/main.rs
@@ -13,7 +13,7 @@
   --version       name and version
 
 settings: name, zone, seat, seats, mates_address, operators_address, advertised_address,
-  seeds, folder, alpha, tau_us, beta, snapshot_every, log_level
+  seeds, folder, alpha, tau_us, beta, snapshot_every, replace_after_us, log_level
 SIGTERM stops it in good order, SIGHUP reads the settings again.
 exit codes: 0 stopped as asked, 1 failed, 2 settings or flags at fault
 ";
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -82,7 +82,12 @@
         "core-killed" => {
             scenario("core-killed", 9_000, vec![(2_000, Step::Kill(Who::Core(seat))), (2_500, Step::Forbid), (6_000, Step::Start(Who::Core(seat)))])
         }
-        "core-wiped" => scenario("core-wiped", 9_000, vec![(1_000, Step::Forbid), (2_000, Step::Wipe(seat)), (6_000, Step::Allow)]),
+        // Nobody does anything; then others die until the wiped seat's vote is needed.
+        "core-wiped" => {
+            let others = (1..=(cores - 1) / 2).map(|step| (10_000, Step::Kill(Who::Core((seat + step) % cores))));
+            let steps = [(1_000, Step::Forbid), (2_000, Step::Wipe(seat))].into_iter().chain(others).chain([(12_000, Step::Allow)]);
+            scenario("core-wiped", 15_000, steps.collect())
+        }
         // After the replacement another seat dies: with a short core the new disk's vote is needed.
         "core-replaced" => {
             let others = (1..=(cores - 1) / 2).map(|step| (9_000, Step::Kill(Who::Core((seat + step) % cores))));
--- a/crates/usher/src/node.rs
+++ b/crates/usher/src/node.rs
@@ -28,6 +28,8 @@
             address: place.clone(),
             incarnation: life,
             core: None,
+            blank: false,
+            expects: None,
             known: gallery::acquaint::list(&greeter),
         };
         let greet = |purpose| {
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -36,6 +36,10 @@
     pub incarnation: Incarnation,
     /// Set by core seats only: seat, number of seats, disk identity.
     pub core: Option<(u16, u16, u64)>,
+    /// A core seat's disk that has kept nothing yet.
+    pub blank: bool,
+    /// The disk that the caller of a core channel takes for the holder of the seat it calls.
+    pub expects: Option<u64>,
     pub known: Vec<CoreSeat>,
 }
 
