An empty disk that takes a seat over waits for its mates' first words before it votes or answers

Cause: an empty disk began to vote once it had met all seats. Of a mate that had already let it in, the greeting alone made it met, before that mate's first word said where the disk begins in the log. It then voted from the start and proved reads at an empty book: one seat told versions 0, or a state in which the loser of an early race had won, for the moment until the log was told to it.

Before: `an_empty_disk_that_has_met_all_waits_for_their_first_words` fails. After: it passes; every first word on a core channel is either `Admit` or that the disk is the first in its seat. `/v1/status` of a seat tells its index, how far it knows the log, and reads that wait.

--- a/crates/boxoffice/src/reading.rs
+++ b/crates/boxoffice/src/reading.rs
@@ -82,7 +82,8 @@
         let book = self.0.core.book.load();
         let answer = serde_json::json!({
             "started": state.started, "identity": format!("{:016x}", state.identity), "met": state.met, "in_touch": state.in_touch,
-            "applied": state.applied, "floor": state.floor, "suspects": state.suspects, "syncs": state.syncs, "frames": state.frames,
+            "applied": state.applied, "floor": state.floor, "index": state.index, "highest": state.highest,
+            "open_reads": state.open_reads, "suspects": state.suspects, "syncs": state.syncs, "frames": state.frames,
             "disk": state.disk, "refused": state.refused, "position": book.position, "version": book.desired.version,
             "known": gallery::acquaint::list(&self.0.core.known), "holders": holders(&self.0.core), "traffic": wings::traffic::told(),
         });
--- a/crates/gallery/src/core.rs
+++ b/crates/gallery/src/core.rs
@@ -24,6 +24,10 @@
     pub in_touch: usize,
     pub applied: u64,
     pub floor: u64,
+    /// Where this seat would suggest next, how far it knows the log to reach, and reads that wait.
+    pub index: u64,
+    pub highest: Option<u64>,
+    pub open_reads: (usize, usize, Vec<u64>),
     pub suspects: Vec<u16>,
     pub syncs: u64,
     pub frames: u64,
@@ -47,6 +51,8 @@
     /// The holders are on disk.
     Repinned(Vec<(u16, u64)>, Vec<repertory::Write>),
     Refused(String),
+    /// This mate takes our disk for the first in its seat.
+    Founder(u16),
     /// An empty disk asks for a seat that another disk holds.
     Knocked(u16, u64),
     Tick,
--- a/crates/gallery/src/core_link.rs
+++ b/crates/gallery/src/core_link.rs
@@ -82,12 +82,12 @@
     let Some((seat, _, identity)) = conn.greeting.core else { return };
     let token = TOKENS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     crate::acquaint::merge(&core.known, conn.greeting.known);
-    if let Some((_, upto)) = core.book.load().seats.get(&seat).filter(|(holder, _)| *holder == identity) {
-        let own = (core.env.seat, core.identity);
-        let pins = core.pins.load().iter().map(|(seat, identity)| (*seat, *identity)).chain([own]).collect();
-        if conn.sender.send(wings::Frame::Admit { upto: *upto, pins }).await.is_err() {
-            return;
-        }
+    let begins = core.book.load().seats.get(&seat).filter(|(holder, _)| *holder == identity).map(|(_, upto)| *upto);
+    let own = (core.env.seat, core.identity);
+    let pins = core.pins.load().iter().map(|(seat, identity)| (*seat, *identity)).chain([own]).collect();
+    let word = begins.map(|upto| wings::Frame::Admit { upto, pins }).unwrap_or(wings::Frame::Founder);
+    if conn.sender.send(word).await.is_err() {
+        return;
     }
     if core.commands.send(Command::Opened(seat, token, conn.sender.clone())).await.is_err() {
         return;
@@ -99,6 +99,7 @@
         let command = match frame {
             wings::Frame::Core(frame) => Command::Frame(seat, token, frame),
             wings::Frame::Admit { upto, pins } => Command::Admitted(upto, pins),
+            wings::Frame::Founder => Command::Founder(seat),
             _ => continue,
         };
         if core.commands.send(command).await.is_err() {
--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -20,6 +20,8 @@
     since_snapshot: u64,
     pub(crate) state: CoreState,
     pub(crate) leapt: playbill::Micros,
+    /// Mates that take this disk for the first in its seat.
+    founders: std::collections::BTreeSet<u16>,
     /// Seats without a channel, since when; and when a change of holder was last asked for.
     pub(crate) away: std::collections::BTreeMap<u16, playbill::Micros>,
     pub(crate) asked_for: playbill::Micros,
@@ -44,6 +46,7 @@
             since_snapshot: 0,
             state,
             leapt: 0,
+            founders: Default::default(),
             away: (0..core.env.seats).map(|seat| (seat, playbill::now())).collect(),
             asked_for: 0,
         }
@@ -61,9 +64,12 @@
         }
     }
 
-    /// No vote before every seat has met every other: an emptied disk then finds itself refused.
+    /// No vote before every seat has met every other: an emptied disk then finds itself refused. A disk that has
+    /// kept nothing also waits for each mate's first word: it may be new in its seat, and know nothing of its past.
     pub(crate) fn start_when_met(&mut self) {
-        if self.machine.is_some() || self.pins.len() + 1 < self.core.env.seats as usize {
+        let others = self.core.env.seats as usize - 1;
+        let known = !self.writes.is_empty() || self.founders.len() >= others;
+        if self.machine.is_some() || self.pins.len() < others || !known {
             return;
         }
         let env = self.core.env.clone();
@@ -99,6 +105,10 @@
                 slog::warn!(self.core.logger, "disk"; "trouble" => trouble.as_deref().unwrap_or("over"));
                 self.state.disk = trouble;
             }
+            Command::Founder(seat) => {
+                self.founders.insert(seat);
+                self.start_when_met();
+            }
             Command::Knocked(seat, identity) => self.knocked(now, seat, identity),
             Command::Tick if self.machine.is_none() => {}
             command if self.machine.is_none() => self.held.push(command),
@@ -220,6 +230,7 @@
             self.state.in_touch = machine.in_touch();
             self.state.applied = machine.applied();
             self.state.floor = machine.floor();
+            (self.state.index, self.state.highest, self.state.open_reads) = (machine.index(), machine.highest(), machine.open_reads());
             self.state.suspects = machine.suspects();
         }
         // Askers that gave up are let go.
--- a/crates/gallery/src/tenure.rs
+++ b/crates/gallery/src/tenure.rs
@@ -94,3 +94,49 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    async fn started(core: &crate::Core) -> bool {
+        // The answer to a word comes after all that was said before it.
+        (0..50).for_each(|_| drop(core.commands.try_send(Command::Tick)));
+        while core.commands.capacity() < core.commands.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+        (0..1_000).for_each(|_| std::hint::spin_loop());
+        tokio::task::yield_now().await;
+        core.state.load().started
+    }
+
+    #[tokio::test(flavor = "multi_thread")]
+    async fn an_empty_disk_that_has_met_all_waits_for_their_first_words() {
+        let folder = std::env::temp_dir().join(format!("gradeford-first-words-{}", std::process::id()));
+        let env = crate::CoreEnv {
+            name: "core-0".into(),
+            zone: "z0".into(),
+            seat: 0,
+            seats: 3,
+            address: "127.0.0.1:1".into(),
+            seeds: vec!["127.0.0.1:1".into()],
+            folder: folder.clone(),
+            tuning: Default::default(),
+            snapshot_every: 100,
+            replace_after: 0,
+        };
+        let core = crate::Core::start(env, playbill::log::quiet()).expect("a core seat");
+        let say = async |command| core.commands.send(command).await.expect("the owner is there");
+        say(Command::Pinned(1, 11)).await;
+        say(Command::Pinned(2, 12)).await;
+        say(Command::Founder(1)).await;
+        assert!(!started(&core).await, "one mate has not said yet whether this disk is the first in its seat");
+        // It is not: all it may vote on lies above what the log names.
+        say(Command::Admitted(1_000_000, vec![(1, 11), (2, 12)])).await;
+        while !core.state.load().started {
+            tokio::task::yield_now().await;
+        }
+        assert!(core.state.load().index > 1_000_000, "{:?}", core.state.load());
+        std::fs::remove_dir_all(folder).expect("clean");
+    }
+}
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -107,6 +107,7 @@
     "acked-then-lost",
     "operators-race",
     "forged",
+    "core-wiped-then-herd",
     "disk-slow",
     "disk-stalled",
     "disk-full",
--- a/crates/rehearsal/src/scenario_more.rs
+++ b/crates/rehearsal/src/scenario_more.rs
@@ -64,6 +64,11 @@
             let steps = [(2_000, Step::AckThenLose(seat))].into_iter().chain(others).chain([(11_500, Step::Forbid), (13_000, Step::Allow)]);
             scenario("acked-then-lost", 17_000, steps.collect())
         }
+        // The power goes soon after an empty disk was let in, when all know its turns only from each other.
+        "core-wiped-then-herd" => {
+            let steps = vec![(1_000, Step::Wipe(seat)), (10_000, Step::KillCore), (12_000, Step::StartCore), (14_000, Step::Forbid), (17_000, Step::Allow)];
+            scenario("core-wiped-then-herd", 22_000, steps)
+        }
         "operators-race" => {
             let few = (0..cores / 2).map(|step| (seat + step) % cores).collect();
             scenario("operators-race", 12_000, vec![(2_000, Step::Split(few)), (6_000, Step::Mend), (7_000, Step::Forbid), (9_000, Step::Allow)])
--- a/crates/repertory/src/read.rs
+++ b/crates/repertory/src/read.rs
@@ -79,6 +79,12 @@
         self.ready.extend(done.into_iter().flat_map(|(_, tokens)| tokens).map(Effect::ReadReady));
     }
 
+    /// Reads of this seat that are not proved yet: waiting for a round, in one, and for instances to be applied.
+    pub fn open_reads(&self) -> (usize, usize, Vec<Instance>) {
+        let round = self.reads.round.as_ref().map(|round| round.asked_by.len()).unwrap_or(0);
+        (self.reads.waiting.len(), round, self.reads.settled.iter().filter_map(|(through, _)| *through).collect())
+    }
+
     /// The furthest instance somebody waits for here; nothing waits when this is not above `applied`.
     pub(crate) fn wanted(&self) -> Option<Instance> {
         self.reads.settled.iter().filter_map(|(through, _)| *through).max().max(self.highest())
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -123,4 +123,6 @@
     },
     Look,
     Seen(Vec<u8>),
+    /// Where a disk took its seat over by no change, this is the first word instead of `Admit`.
+    Founder,
 }
