--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// An earlier run's disks and histories would be taken for this one's.
+fn unused(folder: &std::path::Path) {
+    if folder.join("rehearsal.history").exists() {
+        wrong(&format!("{} holds an earlier run", folder.display()));
+    }
+}
+
 /// Names are checked before anything is started.
 fn checked(site: &str, scenario: &str, folder: &std::path::Path) {
     if rehearsal::deployment::named(site).is_none() {
@@ -131,6 +138,7 @@
     let site: String = usage(arguments.free_from_str());
     nothing_left(arguments);
     checked(&site, &plan.scenario, &plan.folder);
+    unused(&plan.folder);
     let report = rehearsal::run::run(rehearsal::run::Plan { site, ..plan }).await?;
     println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     if report.held() { Ok(()) } else { Err("an invariant was broken".into()) }
@@ -147,6 +155,8 @@
     if let Some(word) = only.iter().flat_map(|only| only.split(',')).find(|word| !known(word)) {
         wrong(&format!("there is no scenario {word:?}"));
     }
+    let folders = sites.iter().flat_map(|site| rehearsal::scenario::NAMES.iter().map(move |name| format!("{site}-{name}")));
+    folders.for_each(|name| unused(&plan.folder.join(name)));
     let mut broken = 0;
     println!("{:<11} {:<20} {:>4} {:>7} {:>7} {:>7} {:>7}  invariants", "site", "scenario", "seed", "asked", "served", "not-run", "may");
     for site in &sites {
--- a/crates/rehearsal/tests/programs.rs
+++ b/crates/rehearsal/tests/programs.rs
@@ -49,6 +49,12 @@
     );
     let (code, _, told) = outcome("usher", &["--speed", "9"]);
     assert!(code == Some(2) && told.contains("--speed"), "{told}");
+    let used = std::env::temp_dir().join(format!("gradeford-used-{}", std::process::id()));
+    std::fs::create_dir_all(&used).expect("a folder");
+    std::fs::write(used.join("rehearsal.history"), "").expect("a file");
+    let folder = used.display().to_string();
+    assert_eq!(outcome("rehearsal", &["run", "small", "--folder", &folder]).0, Some(2), "an earlier run's folder");
+    std::fs::remove_dir_all(used).expect("clean");
     let wrong: [&[&str]; 7] = [
         &["run", "nowhere"],
         &["run", "small", "--scenario", "dance"],
