--- a/crates/rehearsal/src/process.rs
+++ b/crates/rehearsal/src/process.rs
@@ -1,5 +1,18 @@
 //! Processes of a rehearsal. Only this program starts any; it ends those it started, by id.
 
+/// The word behind a flag.
+pub fn flag<'a>(arguments: &'a [String], flag: &str) -> Option<&'a String> {
+    arguments.iter().position(|held| held == flag).and_then(|place| arguments.get(place + 1))
+}
+
+/// The same words, but for these flags.
+pub fn changed(arguments: &[String], flags: &[(&str, String)]) -> Vec<String> {
+    flags.iter().fold(arguments.to_vec(), |mut arguments, (flag, value)| {
+        arguments.iter().position(|held| held == flag).into_iter().for_each(|place| arguments[place + 1] = value.clone());
+        arguments
+    })
+}
+
 pub struct Process {
     pub name: String,
     child: std::process::Child,
--- a/crates/rehearsal/src/sim/site.rs
+++ b/crates/rehearsal/src/sim/site.rs
@@ -76,10 +76,10 @@
     pub(super) runs_waiting: std::collections::BTreeMap<u64, wings::Dispatch>,
     pub(super) runs: std::collections::BTreeMap<u64, super::site_runs::Run>,
     pub(super) numbers: u64,
-    /// Read tokens: the node that asked, when, and from which seat.
+    /// Read tokens: the node that asked, and when.
     pub(super) reads: std::collections::BTreeMap<u64, (usize, Micros)>,
     pub(super) reports: std::collections::BTreeMap<(String, u64, u64), usize>,
-    pub(super) changes: std::collections::BTreeMap<(String, u64, u64), (String, Micros)>,
+    pub(super) changes: std::collections::BTreeMap<(String, u64, u64), String>,
     pub(super) operated: u64,
     pub(super) random: rand::rngs::StdRng,
     events: std::collections::BTreeMap<(Micros, u64), Event>,
--- a/crates/rehearsal/src/sim/site_blows.rs
+++ b/crates/rehearsal/src/sim/site_blows.rs
@@ -67,7 +67,7 @@
         let (origin, sequence) = (format!("core-{seat}"), self.numbers);
         let act = Act::Change(playbill::Change { id: id.clone(), base, edits });
         self.core.submit(seat, &Entry { origin: origin.clone(), life: 1, sequence, act });
-        self.changes.insert((origin, 1, sequence), (id.clone(), self.now));
+        self.changes.insert((origin, 1, sequence), id.clone());
         if self.plan.without.commit {
             self.judge.accepted(self.now, self.core.book(seat).position + 1, base + 1, &id);
         }
--- a/crates/rehearsal/src/stagehand.rs
+++ b/crates/rehearsal/src/stagehand.rs
@@ -78,8 +78,7 @@
             Step::Stop(who) => self.stop(who).await,
             Step::Start(who) => self.start(who)?,
             Step::Wipe(seat) => {
-                self.kill(Who::Core(seat))?;
-                std::fs::remove_dir_all(self.fleet.folder.join(format!("core-{seat}"))).map_err(|error| error.to_string())?;
+                self.burn(seat)?;
                 self.start(Who::Core(seat))?;
             }
             Step::Replace(seat) => self.replace(seat).await?,
@@ -161,19 +160,23 @@
         let put = self.first_order()?;
         let base = operator.read(seat).await?.ok_or("the seat told no version")?;
         let answer = operator.send(seat, "acked-then-lost", base, &[put]).await?;
-        self.kill(Who::Core(seat))?;
-        std::fs::remove_dir_all(self.fleet.folder.join(format!("core-{seat}"))).map_err(|error| error.to_string())?;
+        self.burn(seat)?;
         self.fleet.plan_core_again(seat)?;
         self.start(Who::Core(seat))?;
         match answer {
-            crate::operators::Answer::Refused(412, _) | crate::operators::Answer::Accepted(_) => Ok(()),
+            crate::operators::Answer::Refused(412, _) | crate::operators::Answer::Accepted(..) => Ok(()),
             other => Err(format!("the change got {other:?}")),
         }
     }
 
+    /// Power and disk go together.
+    fn burn(&mut self, seat: usize) -> Result<(), String> {
+        self.kill(Who::Core(seat))?;
+        std::fs::remove_dir_all(self.fleet.folder.join(format!("core-{seat}"))).map_err(|error| error.to_string())
+    }
+
     fn spoil(&mut self, seat: usize, ill: crate::disk::Ill) -> Result<(), String> {
-        let arguments = &self.fleet.cores[seat].arguments;
-        let folder = arguments.iter().position(|held| held == "--folder").and_then(|place| arguments.get(place + 1)).ok_or("the seat has no folder")?;
+        let folder = crate::process::flag(&self.fleet.cores[seat].arguments, "--folder").ok_or("the seat has no folder")?;
         std::fs::write(std::path::Path::new(folder).join("fault"), ill.word()).map_err(|error| error.to_string())
     }
 
