--- a/crates/boxoffice/tests/operators.rs
+++ b/crates/boxoffice/tests/operators.rs
@@ -19,6 +19,7 @@
         tuning: Default::default(),
         snapshot_every: 100,
         replace_after: 500_000,
+        charter: None,
     };
     let core = gallery::Core::start(env, playbill::log::quiet()).expect("a core seat");
     tokio::spawn(gallery::news::listen(core.clone(), mates));
--- a/crates/gallery/src/core.rs
+++ b/crates/gallery/src/core.rs
@@ -13,6 +13,8 @@
     pub snapshot_every: u64,
     /// How long a seat's holder must be away before an empty disk that asks for the seat gets it; 0 is never.
     pub replace_after: playbill::Micros,
+    /// What the seat was given with, where settings do not name it (design 12.1).
+    pub charter: Option<vault::Charter>,
 }
 
 /// What `/ready` and status pages say.
@@ -29,6 +31,8 @@
     pub highest: Option<u64>,
     pub open_reads: (usize, usize, Vec<u64>),
     pub suspects: Vec<u16>,
+    /// Seats nobody was heard in for `replace_after`.
+    pub vacant: Vec<u16>,
     pub syncs: u64,
     pub frames: u64,
     pub disk: Option<String>,
@@ -40,6 +44,11 @@
 pub(crate) enum Command {
     Submit(playbill::Entry, Answer),
     Read(tokio::sync::oneshot::Sender<playbill::Position>),
+    /// A follower holds the bill up to here; news goes to it from now on (design 11.3).
+    Follow(playbill::Position, wings::Sender),
+    /// A follower wants a proof, by number, on the channel its news takes.
+    Ask(u64, wings::Sender),
+    Items(tokio::sync::oneshot::Sender<playbill::bill::items::Items>),
     Opened(u16, u64, wings::Sender),
     Frame(u16, u64, repertory::Frame),
     Closed(u16, u64),
@@ -53,8 +62,8 @@
     Refused(String),
     /// This mate takes our disk for the first in its seat.
     Founder(u16),
-    /// An empty disk asks for a seat that another disk holds.
-    Knocked(u16, u64),
+    /// An empty disk asks for a seat that another disk holds, or held at the very same address.
+    Knocked(u16, u64, bool),
     Tick,
 }
 
@@ -124,7 +133,7 @@
     }
 
     pub(crate) fn own_seat(&self) -> wings::CoreSeat {
-        wings::CoreSeat { seat: self.env.seat, identity: self.identity, address: self.env.address.clone(), started: self.life }
+        wings::CoreSeat { seat: self.env.seat, identity: self.identity, address: self.env.address.clone(), zone: self.env.zone.clone(), started: self.life }
     }
 
     pub fn seats(&self) -> u16 {
@@ -157,6 +166,19 @@
         self.submit(self.own_entry(playbill::Act::Change(change))).await
     }
 
+    /// Items of an operator: whole or not at all (design 11.1).
+    pub async fn amend(&self, call: playbill::bill::Call) -> Option<playbill::Outcome> {
+        self.submit(self.own_entry(playbill::Act::Bill(playbill::bill::Act::Items(call)))).await
+    }
+
+    /// All items as they stand now, proved by a majority.
+    pub async fn items(&self) -> Option<playbill::bill::items::Items> {
+        self.read().await?;
+        let (answer, items) = tokio::sync::oneshot::channel();
+        self.commands.send(Command::Items(answer)).await.ok()?;
+        tokio::time::timeout(PATIENCE, items).await.ok()?.ok()
+    }
+
     /// Another disk is to hold a seat (design 4.4).
     pub async fn replace(&self, change: playbill::SeatChange) -> Option<playbill::Outcome> {
         self.submit(self.own_entry(playbill::Act::Seat(change))).await
--- /dev/null
+++ b/crates/gallery/src/core_effects.rs
@@ -0,0 +1,88 @@
+//! What the ordering asks of its driver, and what the owner shows of itself (design 3.2, 3.8).
+
+use crate::core_owner::Owner;
+
+impl Owner {
+    pub(crate) fn carry_out_one(&mut self, effect: repertory::Effect) {
+        match effect {
+            repertory::Effect::Send(seat, frame) => {
+                self.state.frames += 1;
+                let sent = self.conns.get(&seat).map(|(_, sender)| sender.try_send(wings::Frame::Core(frame)).is_ok());
+                if sent == Some(false) {
+                    // A mate that does not keep up loses the channel; the next one begins with a resync.
+                    self.conns.remove(&seat);
+                    self.away.insert(seat, playbill::now());
+                    self.step(playbill::now(), repertory::Input::Closed(seat));
+                }
+            }
+            repertory::Effect::Persist { ticket, writes, afresh } => {
+                drop(self.core.jobs.send(vault::Job::Append { ticket, writes, afresh }));
+            }
+            repertory::Effect::Apply(instance, value) => self.apply(instance, &value),
+            repertory::Effect::Install { state, through } => {
+                match crate::bulletin::unpacked(&state) {
+                    Some((book, bill)) => {
+                        self.book = book;
+                        self.bill.install(bill);
+                        self.mind_tenure();
+                    }
+                    None => slog::error!(self.core.logger, "a snapshot does not hold together"; "through" => through),
+                }
+                self.core.book.store(std::sync::Arc::new(self.book.clone()));
+            }
+            repertory::Effect::ReadReady(token) => {
+                // Followers hear what was applied before the proof that speaks of it.
+                self.bill.publish();
+                self.bill.proved(token);
+                // The reader finds the book at least as new as what it is told.
+                self.core.book.store(std::sync::Arc::new(self.book.clone()));
+                if let Some(answer) = self.reads.remove(&token) {
+                    answer.send(self.book.position).map(|()| 0).unwrap_or_default();
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, instance: u64, value: &[u8]) {
+        let Some(entry) = playbill::entry::from_bytes(value) else {
+            return slog::error!(self.core.logger, "an entry does not hold together"; "instance" => instance);
+        };
+        let asked = (entry.origin.clone(), entry.life, entry.sequence);
+        let outcome = match entry.act {
+            playbill::Act::Bill(act) => self.bill.apply(&asked, act),
+            _ => {
+                let outcome = self.book.apply_at(entry, instance, repertory::WINDOW);
+                self.mind_tenure();
+                outcome
+            }
+        };
+        slog::debug!(self.core.logger, "applied"; "instance" => instance, "position" => self.book.position, "origin" => &asked.0, "outcome" => ?outcome);
+        self.waiting.remove(&asked).into_iter().flatten().for_each(|answer| drop(answer.send(outcome.clone())));
+        self.since_snapshot += 1;
+        if self.since_snapshot >= self.core.env.snapshot_every {
+            self.since_snapshot = 0;
+            let state = crate::bulletin::packed(&self.book, &self.bill.bill);
+            self.step(playbill::now(), repertory::Input::Snapshot { through: instance + 1, state });
+        }
+    }
+
+    pub(crate) fn publish(&mut self) {
+        if let Some(machine) = self.machine.as_ref() {
+            self.state.started = true;
+            self.state.in_touch = machine.in_touch();
+            self.state.applied = machine.applied();
+            self.state.floor = machine.floor();
+            (self.state.index, self.state.highest, self.state.open_reads) = (machine.index(), machine.highest(), machine.open_reads());
+            self.state.suspects = machine.suspects();
+            let (now, patience) = (playbill::now(), self.core.env.replace_after);
+            let vacant = self.away.iter().filter(|(seat, since)| **seat != self.core.env.seat && now >= **since + patience);
+            self.state.vacant = vacant.map(|(seat, _)| *seat).collect();
+        }
+        // Askers that gave up are let go.
+        self.reads.retain(|_, answer| !answer.is_closed());
+        self.waiting.retain(|_, answers| answers.iter().any(|answer| !answer.is_closed()));
+        if **self.core.state.load() != self.state {
+            self.core.state.store(std::sync::Arc::new(self.state.clone()));
+        }
+    }
+}
--- a/crates/gallery/src/core_link.rs
+++ b/crates/gallery/src/core_link.rs
@@ -53,7 +53,9 @@
     if let Some((seat, _, identity)) = asks
         && core.pins.load().get(&seat).is_some_and(|held| *held != identity)
     {
-        drop(core.commands.send(Command::Knocked(seat, identity)).await);
+        // No two processes share an address: whoever held the seat there is gone.
+        let place = core.known.borrow().iter().any(|((told, held), place)| *told == seat && *held != identity && place.address == greeting.address);
+        drop(core.commands.send(Command::Knocked(seat, identity, place)).await);
     }
 }
 
--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -10,14 +10,15 @@
     pub(crate) writes: Vec<repertory::Write>,
     pub(crate) pins: vault::Pins,
     /// What came before all seats had met (design 4.1).
-    held: Vec<Command>,
+    pub(crate) held: Vec<Command>,
     pub(crate) conns: std::collections::BTreeMap<u16, (u64, wings::Sender)>,
     pub(crate) book: playbill::Book,
+    pub(crate) bill: crate::bulletin::Desk,
     moved: tokio::sync::watch::Sender<playbill::Position>,
-    waiting: Waiting,
-    reads: std::collections::BTreeMap<u64, tokio::sync::oneshot::Sender<playbill::Position>>,
+    pub(crate) waiting: Waiting,
+    pub(crate) reads: std::collections::BTreeMap<u64, tokio::sync::oneshot::Sender<playbill::Position>>,
     read_tokens: u64,
-    since_snapshot: u64,
+    pub(crate) since_snapshot: u64,
     pub(crate) state: CoreState,
     pub(crate) leapt: playbill::Micros,
     /// Mates that take this disk for the first in its seat.
@@ -39,6 +40,7 @@
             held: Vec::new(),
             conns: Default::default(),
             book: playbill::Book::default(),
+            bill: Default::default(),
             moved,
             waiting: Default::default(),
             reads: Default::default(),
@@ -68,7 +70,14 @@
     /// kept nothing also waits for each mate's first word: it may be new in its seat, and know nothing of its past.
     pub(crate) fn start_when_met(&mut self) {
         let others = self.core.env.seats as usize - 1;
-        let known = !self.writes.is_empty() || self.founders.len() >= others;
+        let known = !self.writes.is_empty()
+            || match self.core.env.charter {
+                // Given with the core itself: all others are named, there is no past.
+                Some(charter) if charter.founded => true,
+                // Taken over: only the log says where this disk begins; a mate that has just woken may not know yet.
+                Some(_) => false,
+                None => self.founders.len() >= others,
+            };
         if self.machine.is_some() || self.pins.len() < others || !known {
             return;
         }
@@ -109,7 +118,7 @@
                 self.founders.insert(seat);
                 self.start_when_met();
             }
-            Command::Knocked(seat, identity) => self.knocked(now, seat, identity),
+            Command::Knocked(seat, identity, same_place) => self.knocked(now, seat, identity, same_place),
             Command::Tick if self.machine.is_none() => {}
             command if self.machine.is_none() => self.held.push(command),
             Command::Opened(seat, token, sender) => {
@@ -146,6 +155,13 @@
                 self.reads.insert(self.read_tokens, answer);
                 self.step(now, repertory::Input::Read(self.read_tokens));
             }
+            Command::Follow(held, sender) => self.bill.follow(held, sender),
+            Command::Ask(number, sender) => {
+                self.read_tokens += 1;
+                self.bill.asked(self.read_tokens, number, sender);
+                self.step(now, repertory::Input::Read(self.read_tokens));
+            }
+            Command::Items(answer) => drop(answer.send(self.bill.items())),
             Command::Tick => self.step(now, repertory::Input::Tick),
         }
     }
@@ -165,79 +181,10 @@
             }
             effects.into_iter().for_each(|effect| self.carry_out_one(effect));
         }
+        self.bill.publish();
         if self.book.position != before {
             self.core.book.store(std::sync::Arc::new(self.book.clone()));
             self.moved.send_replace(self.book.position);
         }
     }
-
-    fn carry_out_one(&mut self, effect: repertory::Effect) {
-        match effect {
-            repertory::Effect::Send(seat, frame) => {
-                self.state.frames += 1;
-                let sent = self.conns.get(&seat).map(|(_, sender)| sender.try_send(wings::Frame::Core(frame)).is_ok());
-                if sent == Some(false) {
-                    // A mate that does not keep up loses the channel; the next one begins with a resync.
-                    self.conns.remove(&seat);
-                    self.away.insert(seat, playbill::now());
-                    self.step(playbill::now(), repertory::Input::Closed(seat));
-                }
-            }
-            repertory::Effect::Persist { ticket, writes, afresh } => {
-                drop(self.core.jobs.send(vault::Job::Append { ticket, writes, afresh }));
-            }
-            repertory::Effect::Apply(instance, value) => self.apply(instance, &value),
-            repertory::Effect::Install { state, through } => {
-                match playbill::Book::from_bytes(&state) {
-                    Some(book) => {
-                        self.book = book;
-                        self.mind_tenure();
-                    }
-                    None => slog::error!(self.core.logger, "a snapshot does not hold together"; "through" => through),
-                }
-                self.core.book.store(std::sync::Arc::new(self.book.clone()));
-            }
-            repertory::Effect::ReadReady(token) => {
-                // The reader finds the book at least as new as what it is told.
-                self.core.book.store(std::sync::Arc::new(self.book.clone()));
-                if let Some(answer) = self.reads.remove(&token) {
-                    answer.send(self.book.position).map(|()| 0).unwrap_or_default();
-                }
-            }
-        }
-    }
-
-    fn apply(&mut self, instance: u64, value: &[u8]) {
-        let Some(entry) = playbill::entry::from_bytes(value) else {
-            return slog::error!(self.core.logger, "an entry does not hold together"; "instance" => instance);
-        };
-        let asked = (entry.origin.clone(), entry.life, entry.sequence);
-        let outcome = self.book.apply_at(entry, instance, repertory::WINDOW);
-        self.mind_tenure();
-        slog::debug!(self.core.logger, "applied"; "instance" => instance, "position" => self.book.position, "origin" => &asked.0, "outcome" => ?outcome);
-        self.waiting.remove(&asked).into_iter().flatten().for_each(|answer| drop(answer.send(outcome.clone())));
-        self.since_snapshot += 1;
-        if self.since_snapshot >= self.core.env.snapshot_every {
-            self.since_snapshot = 0;
-            let state = self.book.to_bytes();
-            self.step(playbill::now(), repertory::Input::Snapshot { through: instance + 1, state });
-        }
-    }
-
-    fn publish(&mut self) {
-        if let Some(machine) = self.machine.as_ref() {
-            self.state.started = true;
-            self.state.in_touch = machine.in_touch();
-            self.state.applied = machine.applied();
-            self.state.floor = machine.floor();
-            (self.state.index, self.state.highest, self.state.open_reads) = (machine.index(), machine.highest(), machine.open_reads());
-            self.state.suspects = machine.suspects();
-        }
-        // Askers that gave up are let go.
-        self.reads.retain(|_, answer| !answer.is_closed());
-        self.waiting.retain(|_, answers| answers.iter().any(|answer| !answer.is_closed()));
-        if **self.core.state.load() != self.state {
-            self.core.state.store(std::sync::Arc::new(self.state.clone()));
-        }
-    }
 }
--- /dev/null
+++ b/crates/gallery/src/following.rs
@@ -0,0 +1,133 @@
+//! A node's side: it follows one core seat, its own zone's first, and holds the bill as it was told (design 11.3).
+
+/// What a node believes. It serves lanes on from the newest it ever held; only the right to grant keys
+/// needs a proof, and lasts from when that was asked (design 11.5).
+#[derive(Clone, Debug, Default)]
+pub struct Outlook {
+    pub programme: std::sync::Arc<playbill::bill::Programme>,
+    /// When the latest proof was asked; 0 before the first.
+    pub proved: playbill::Micros,
+}
+
+pub type SharedOutlook = std::sync::Arc<arc_swap::ArcSwap<Outlook>>;
+
+pub struct FollowingEnv {
+    pub name: String,
+    pub zone: String,
+    pub ask_every: playbill::Micros,
+    /// An upstream that proves nothing for so long is left for another.
+    pub patience: playbill::Micros,
+}
+
+#[derive(Clone)]
+pub struct Following {
+    pub outlook: SharedOutlook,
+    /// Moves with every change of the outlook.
+    pub moved: tokio::sync::watch::Receiver<u64>,
+}
+
+struct Line<G> {
+    env: FollowingEnv,
+    known: crate::Known,
+    greeting: G,
+    outlook: SharedOutlook,
+    moved: tokio::sync::watch::Sender<u64>,
+    asks: std::collections::VecDeque<(u64, playbill::Micros)>,
+    numbers: u64,
+    logger: slog::Logger,
+}
+
+pub fn start<G: Fn() -> wings::Greeting + Send + Sync + 'static>(env: FollowingEnv, known: crate::Known, greeting: G, logger: slog::Logger) -> Following {
+    let (moved, watch) = tokio::sync::watch::channel(0);
+    let outlook: SharedOutlook = Default::default();
+    let line = Line { env, known, greeting, outlook: outlook.clone(), moved, asks: Default::default(), numbers: 0, logger };
+    tokio::spawn(line.run());
+    Following { outlook, moved: watch }
+}
+
+/// Seats of the own zone first, both parts in an order of the node's own.
+pub(crate) fn by_zone(known: &crate::Known, zone: &str, name: &str) -> Vec<wings::CoreSeat> {
+    let mut seats = crate::acquaint::list(known);
+    seats.sort_by_key(|seat| (seat.zone != zone, playbill::terms::hash(&format!("{name}{}", seat.seat)), std::cmp::Reverse(seat.started)));
+    seats
+}
+
+impl<G: Fn() -> wings::Greeting + Send + Sync + 'static> Line<G> {
+    async fn run(mut self) {
+        let mut turn = 0;
+        loop {
+            let seats = by_zone(&self.known, &self.env.zone, &self.env.name);
+            if let Some(seat) = seats.get(turn % seats.len().max(1)) {
+                match wings::dial(&seat.address, (self.greeting)()).await {
+                    Ok(conn) => {
+                        crate::acquaint::merge(&self.known, conn.greeting.known.clone());
+                        slog::info!(self.logger, "follows"; "upstream" => &conn.greeting.name);
+                        // One that served well is asked again first.
+                        turn = if self.attend(conn).await { 0 } else { turn + 1 };
+                    }
+                    Err(trouble) => {
+                        turn += 1;
+                        slog::debug!(self.logger, "dial"; "address" => &seat.address, "trouble" => %trouble);
+                    }
+                }
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20 + rand::random::<u64>() % 30)).await;
+        }
+    }
+
+    /// Whether it was any use.
+    async fn attend(&mut self, mut conn: wings::Conn) -> bool {
+        self.asks.clear();
+        let began = playbill::now();
+        let held = self.outlook.load().programme.position;
+        let mut fine = conn.sender.send(wings::Frame::Follow { held }).await.is_ok();
+        let mut proved = began;
+        let mut every = tokio::time::interval(std::time::Duration::from_micros(self.env.ask_every));
+        every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while fine {
+            fine = tokio::select! {
+                frame = conn.receiver.recv() => frame.is_some_and(|frame| self.take(frame, &mut proved)),
+                _ = every.tick() => {
+                    self.numbers += 1;
+                    self.asks.push_back((self.numbers, playbill::now()));
+                    conn.sender.try_send(wings::Frame::Ask { number: self.numbers }).is_ok() && playbill::now() < proved + self.env.patience
+                }
+            };
+        }
+        slog::info!(self.logger, "upstream left"; "upstream" => &conn.greeting.name);
+        proved > began
+    }
+
+    /// False when what the conn tells does not fit what is held: it must begin anew.
+    fn take(&mut self, frame: wings::Frame, proved: &mut playbill::Micros) -> bool {
+        let held = self.outlook.load_full();
+        match frame {
+            wings::Frame::Bulletin { afresh, from, to, deltas } => {
+                // Forward only: what is older than what is held is dropped, whoever brings it, however late.
+                if to <= held.programme.position {
+                    return true;
+                }
+                let Some(deltas) = crate::bulletin::deltas(&deltas).filter(|_| afresh || from == held.programme.position) else { return false };
+                let programme = std::sync::Arc::new(held.programme.told(afresh, to, deltas));
+                self.hold(Outlook { programme, proved: held.proved });
+                true
+            }
+            wings::Frame::Proof { number, position } => {
+                let asked = self.asks.iter().find(|(asked, _)| *asked == number).map(|(_, at)| *at);
+                self.asks.retain(|(asked, _)| *asked > number);
+                // News went before the proof: what is held here is what stood there.
+                if let Some(asked) = asked.filter(|_| position <= held.programme.position) {
+                    *proved = playbill::now();
+                    self.hold(Outlook { programme: held.programme.clone(), proved: held.proved.max(asked) });
+                }
+                true
+            }
+            _ => true,
+        }
+    }
+
+    fn hold(&self, outlook: Outlook) {
+        self.outlook.store(std::sync::Arc::new(outlook));
+        self.moved.send_modify(|moved| *moved += 1);
+    }
+}
--- a/crates/gallery/src/lib.rs
+++ b/crates/gallery/src/lib.rs
@@ -2,9 +2,13 @@
 //! to them (design 4, 5, 6).
 
 pub mod acquaint;
+mod bulletin;
 pub mod core;
+mod core_effects;
 mod core_link;
 mod core_owner;
+pub mod following;
+pub mod founding;
 pub mod home;
 pub mod news;
 pub mod relay;
@@ -17,6 +21,8 @@
 
 pub use acquaint::Known;
 pub use core::{Core, CoreEnv, CoreState};
+pub use following::{Following, FollowingEnv, Outlook, SharedOutlook};
+pub use founding::FoundingEnv;
 pub use reporting::{ReportingEnv, Reports};
 pub use subscription::{Subscription, SubscriptionEnv};
 pub use view::View;
--- a/crates/gallery/src/news.rs
+++ b/crates/gallery/src/news.rs
@@ -28,7 +28,7 @@
             wings::Purpose::Core => crate::core_link::bind(&judge, &greeting).await?,
             wings::Purpose::Call | wings::Purpose::Watch => return Err("a core seat takes neither requests nor beats".into()),
             wings::Purpose::Acquaint => crate::core_link::mind_knock(&judge, &greeting).await,
-            wings::Purpose::Subscribe | wings::Purpose::Look => {}
+            wings::Purpose::Subscribe | wings::Purpose::Look | wings::Purpose::Enlist => {}
         }
         Ok(judge.greeting(greeting.purpose))
     })
@@ -37,6 +37,12 @@
         Ok(conn) if !crate::core_link::expected(&core, &conn.greeting) => drop(conn),
         Ok(conn) if conn.greeting.purpose == wings::Purpose::Core => crate::core_link::attend(&core, conn).await,
         Ok(conn) if conn.greeting.purpose == wings::Purpose::Acquaint => drop(conn),
+        Ok(conn) if conn.greeting.purpose == wings::Purpose::Enlist => {
+            drop(conn.sender.send(crate::founding::word(&core, &conn.greeting)).await);
+            // The caller ends the conn once it has heard.
+            let mut heard = conn.receiver;
+            drop(tokio::time::timeout(std::time::Duration::from_secs(2), heard.recv()).await);
+        }
         Ok(conn) => serve(core, conn).await,
         Err(trouble) => slog::debug!(core.logger, "a caller was not taken"; "trouble" => %trouble),
     }
@@ -47,6 +53,7 @@
     let (proved, mut proofs) = tokio::sync::mpsc::channel::<u64>(64);
     let mut services: Option<(playbill::slice::Services, playbill::Position)> = None;
     let mut last: Option<playbill::Slice> = None;
+    let mut follows = false;
     loop {
         let number = tokio::select! {
             frame = conn.receiver.recv() => match frame {
@@ -54,6 +61,15 @@
                     services = Some((wanted, held));
                     None
                 }
+                Some(wings::Frame::Follow { held }) => {
+                    follows = true;
+                    drop(core.commands.send(crate::core::Command::Follow(held, conn.sender.clone())).await);
+                    continue;
+                }
+                Some(wings::Frame::Ask { number }) if follows => {
+                    drop(core.commands.send(crate::core::Command::Ask(number, conn.sender.clone())).await);
+                    continue;
+                }
                 Some(wings::Frame::Ask { number }) => {
                     let (reader, proved) = (core.clone(), proved.clone());
                     tokio::spawn(async move {
--- a/crates/gallery/src/reporting.rs
+++ b/crates/gallery/src/reporting.rs
@@ -6,7 +6,7 @@
     pub logger: slog::Logger,
 }
 
-type Asked = (playbill::standing::Report, tokio::sync::oneshot::Sender<playbill::Outcome>);
+type Asked = (playbill::Act, tokio::sync::oneshot::Sender<playbill::Outcome>);
 
 /// Hands a report to the log and waits until it is answered.
 #[derive(Clone)]
@@ -25,8 +25,17 @@
     }
 
     pub async fn tell(&self, report: playbill::standing::Report) -> Option<playbill::Outcome> {
+        self.put(playbill::Act::Standing(report)).await
+    }
+
+    /// Of back ends, nodes and keys in the bill (design 11.2).
+    pub async fn report(&self, reports: Vec<playbill::bill::Report>) -> Option<playbill::Outcome> {
+        self.put(playbill::Act::Bill(playbill::bill::Act::Reports(reports))).await
+    }
+
+    async fn put(&self, act: playbill::Act) -> Option<playbill::Outcome> {
         let (answer, outcome) = tokio::sync::oneshot::channel();
-        self.0.send((report, answer)).await.ok()?;
+        self.0.send((act, answer)).await.ok()?;
         outcome.await.ok()
     }
 }
@@ -46,7 +55,7 @@
         };
         sequence += 1;
         // The same entry, sequence and all, until it is answered: repeats are dropped by the book.
-        let entry = playbill::Entry { origin: env.name.clone(), life: env.life, sequence, act: playbill::Act::Standing(next.0) };
+        let entry = playbill::Entry { origin: env.name.clone(), life: env.life, sequence, act: next.0 };
         let outcome = loop {
             if let Some(line) = conn.as_mut() {
                 let answered = tokio::time::timeout(PATIENCE, forward(line, &entry)).await.ok().flatten();
--- a/crates/gallery/src/tenure.rs
+++ b/crates/gallery/src/tenure.rs
@@ -6,6 +6,9 @@
 /// Between two pushes of the log towards the instance where a seat changes hands.
 const PUSH_EVERY: playbill::Micros = 100_000;
 
+/// Between two askings for a change of holder.
+const PAUSE: playbill::Micros = 500_000;
+
 impl Owner {
     pub(crate) fn pins_changed(&mut self) {
         self.state.met = self.pins.len();
@@ -38,12 +41,13 @@
 
     /// An empty disk asks for a seat whose holder this seat has not heard for long: the log decides, as it
     /// would for an operator. A disk that ever kept something is not empty, so none comes back by itself.
-    pub(crate) fn knocked(&mut self, now: playbill::Micros, seat: u16, identity: u64) {
+    pub(crate) fn knocked(&mut self, now: playbill::Micros, seat: u16, identity: u64, same_place: bool) {
         let patience = self.core.env.replace_after;
+        let pause = patience.min(PAUSE);
         let holder = self.pins.get(&seat).copied().filter(|holder| *holder != identity);
-        let away = self.away.get(&seat).is_some_and(|since| now >= since + patience);
+        let away = same_place || self.away.get(&seat).is_some_and(|since| now >= since + patience);
         let pending = self.book.seats.get(&seat).is_some_and(|(held, _)| *held == identity);
-        let Some(from) = holder.filter(|_| patience > 0 && away && !pending && self.machine.is_some() && now >= self.asked_for + patience) else { return };
+        let Some(from) = holder.filter(|_| patience > 0 && away && !pending && self.machine.is_some() && now >= self.asked_for + pause) else { return };
         self.asked_for = now;
         slog::warn!(self.core.logger, "an empty disk asks for a seat whose holder is away"; "seat" => seat, "holder" => from, "disk" => identity);
         let change = playbill::Act::Seat(playbill::SeatChange { seat, from, to: identity });
@@ -124,6 +128,7 @@
             tuning: Default::default(),
             snapshot_every: 100,
             replace_after: 0,
+            charter: None,
         };
         let core = crate::Core::start(env, playbill::log::quiet()).expect("a core seat");
         let say = async |command| core.commands.send(command).await.expect("the owner is there");
--- a/crates/lobby/src/lib.rs
+++ b/crates/lobby/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP plumbing the three outward peers share: binding, bodies, JSON, a stop that lets work end.
 
+pub mod words;
+
 /// The largest body taken from a sender, a back end or an operator.
 pub const BODY_LIMIT: usize = 1024 * 1024;
 
--- /dev/null
+++ b/crates/pit/src/desk.rs
@@ -0,0 +1,180 @@
+//! The one owner of the back end's slots: a command queue in, runs out (design 13.2, 13.3).
+
+use crate::{Buffer, Local, Waiting};
+use playbill::{Cause, Micros, Trouble};
+
+pub struct PitEnv {
+    pub words: lobby::words::Words,
+    /// Runs given to the back end beyond its slots, so that none stands empty between two.
+    pub ahead: u32,
+}
+
+type Answer = tokio::sync::oneshot::Sender<Outcome>;
+/// What came of it, and how long a request of the least rank would wait here now.
+pub type Outcome = (Result<wings::Take, Trouble>, Micros);
+
+enum Command {
+    Enter(Box<wings::Cue>, Micros, Answer),
+    Ended { began: Micros, ran: bool },
+    Local(Option<Local>),
+    Leave,
+    Load(tokio::sync::oneshot::Sender<(usize, usize)>),
+}
+
+#[derive(Clone)]
+pub struct Pit(tokio::sync::mpsc::Sender<Command>);
+
+struct Owner {
+    env: PitEnv,
+    commands: tokio::sync::mpsc::Sender<Command>,
+    door: std::sync::Arc<crate::Door>,
+    local: Option<Local>,
+    buffer: Buffer<(Box<wings::Cue>, Answer)>,
+    running: usize,
+    leaving: bool,
+}
+
+/// When a refused request may come again, at least and at most.
+const BACK: (Micros, Micros) = (50_000, 2_000_000);
+
+impl Pit {
+    pub fn start(env: PitEnv) -> Pit {
+        let (commands, mut buffer) = tokio::sync::mpsc::channel(4_096);
+        let door = std::sync::Arc::new(crate::Door::new(env.words.clone()));
+        let mut owner = Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), running: 0, leaving: false };
+        tokio::spawn(async move {
+            while let Some(command) = buffer.recv().await {
+                owner.take(command);
+            }
+        });
+        Pit(commands)
+    }
+
+    /// Returns with the answer, or with why there is none and whether it may have run.
+    pub async fn perform(&self, cue: Box<wings::Cue>) -> Outcome {
+        let (answer, outcome) = tokio::sync::oneshot::channel();
+        let until = playbill::now() + cue.left;
+        let gone = || (Err(Trouble::new(Cause::Leaving, "this node is stopping")), 0);
+        if self.0.send(Command::Enter(cue, until, answer)).await.is_err() {
+            return gone();
+        }
+        outcome.await.unwrap_or_else(|_| (Err(Trouble::new(Cause::MateLost, "the owner of the back end's slots is gone")), 0))
+    }
+
+    pub async fn local(&self, local: Option<Local>) {
+        self.0.send(Command::Local(local)).await.unwrap_or_default();
+    }
+
+    /// Takes nothing new from mates or from here.
+    pub async fn leave(&self) {
+        self.0.send(Command::Leave).await.unwrap_or_default();
+    }
+
+    /// Running and waiting.
+    pub async fn load(&self) -> (usize, usize) {
+        let (answer, load) = tokio::sync::oneshot::channel();
+        self.0.send(Command::Load(answer)).await.unwrap_or_default();
+        load.await.unwrap_or_default()
+    }
+}
+
+impl Owner {
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Enter(cue, until, answer) => self.enter(cue, until, answer),
+            Command::Ended { began, ran } => {
+                self.running -= 1;
+                if ran {
+                    self.buffer.ran(playbill::now() - began);
+                }
+            }
+            Command::Local(local) => self.set_local(local),
+            Command::Leave => self.leaving = true,
+            Command::Load(answer) => drop(answer.send((self.running, self.buffer.len()))),
+        }
+        self.start_next();
+    }
+
+    fn set_local(&mut self, local: Option<Local>) {
+        if self.local.as_ref().map(|held| (&held.name, &held.address)) != local.as_ref().map(|held| (&held.name, &held.address)) {
+            self.door.clear();
+        }
+        self.local = local;
+        let now = playbill::now();
+        let gone = self.buffer.remove(|waiting| refusal(self.local.as_ref(), now, &waiting.held.0).is_some());
+        gone.into_iter().for_each(|waiting| {
+            let why = refusal(self.local.as_ref(), now, &waiting.held.0).unwrap_or_else(|| Trouble::new(Cause::NoBackEnd, "gone"));
+            self.answer(waiting.held.1, Err(why));
+        });
+    }
+
+    fn slots(&self) -> usize {
+        self.local.as_ref().map(|local| local.slots + self.env.ahead).unwrap_or(0) as usize
+    }
+
+    fn wait(&self, rank: u8) -> Micros {
+        self.buffer.wait(rank, self.running, self.slots())
+    }
+
+    fn answer(&self, answer: Answer, outcome: Result<wings::Take, Trouble>) {
+        drop(answer.send((outcome, self.wait(u8::MAX))));
+    }
+
+    fn enter(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
+        let now = playbill::now();
+        if self.leaving {
+            return self.answer(answer, Err(Trouble::new(Cause::Leaving, "this node is stopping")));
+        }
+        if let Some(trouble) = refusal(self.local.as_ref(), now, &cue) {
+            return self.answer(answer, Err(trouble));
+        }
+        let wait = self.wait(cue.rank);
+        // What cannot be answered in time is told at once, with when to come back.
+        if now + wait + self.buffer.mean_run() / 2 > until {
+            let back = wait.clamp(BACK.0, BACK.1);
+            return self.answer(answer, Err(Trouble::new(Cause::Overloaded, "it would wait too long").later(back)));
+        }
+        let waiting = Waiting { rank: cue.rank, until, aim: now + cue.aim, key: cue.key, held: (cue, answer) };
+        self.buffer.push(waiting);
+    }
+
+    fn start_next(&mut self) {
+        while self.running < self.slots() {
+            let now = playbill::now();
+            let (next, late) = self.buffer.pop(now);
+            late.into_iter()
+                .for_each(|late| self.answer(late.held.1, Err(Trouble::new(Cause::Overloaded, "its wait was over before a slot was free").later(BACK.0))));
+            let Some(next) = next else { return };
+            let (cue, answer) = next.held;
+            match refusal(self.local.as_ref(), now, &cue) {
+                Some(trouble) => self.answer(answer, Err(trouble)),
+                None => self.run(cue, next.until, answer),
+            }
+        }
+    }
+
+    fn run(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
+        let Some(address) = self.local.as_ref().map(|local| local.address.clone()) else { return };
+        self.running += 1;
+        let (door, commands, wait, began) = (self.door.clone(), self.commands.clone(), self.wait(u8::MAX), playbill::now());
+        tokio::spawn(async move {
+            let left = until.saturating_sub(began);
+            let ran = tokio::time::timeout(std::time::Duration::from_micros(left), door.pass(&address, &cue, left)).await;
+            let outcome = ran.unwrap_or_else(|_| Err(Trouble::new(Cause::RanOutOfTime, "no answer within the wait")));
+            drop(commands.send(Command::Ended { began, ran: outcome.is_ok() }).await);
+            drop(answer.send((outcome, wait)));
+        });
+    }
+}
+
+/// Why this back end is not to be given the request now; certain not to have run.
+fn refusal(local: Option<&Local>, now: Micros, cue: &wings::Cue) -> Option<Trouble> {
+    let Some(local) = local.filter(|local| local.name == cue.back_end) else {
+        return Some(Trouble::new(Cause::WrongIncarnation, "that back end is not beside this node"));
+    };
+    if !local.open(now) {
+        return Some(Trouble::new(Cause::Draining, "the back end takes nothing new"));
+    }
+    let unheld = cue.key.zip(local.holding.as_ref()).is_some_and(|(key, holding)| !holding.holds(now, key));
+    unheld.then(|| Trouble::new(Cause::KeyUnheld, "the back end does not hold the key now"))
+}
--- /dev/null
+++ b/crates/playbill/src/bill/delta.rs
@@ -0,0 +1,138 @@
+//! Changes of the bill as followers hear them, and what a node makes of them (design 11.3).
+
+use super::{Body, Casting, Kind, Lane, Limits, Place, Player, Rows, Service, cast, items::ItemName, items::ItemVersion};
+use crate::{BackEndName, NodeName, Position, ServiceName};
+
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Delta {
+    Item(Kind, ItemName, ItemVersion, Option<Body>),
+    Player(BackEndName, Option<Player>),
+    Place(NodeName, Option<Place>),
+    /// The rows that changed, and where the service's latest placement stands.
+    Rows(ServiceName, Position, Rows),
+}
+
+type Shared<T> = std::sync::Arc<T>;
+/// Prefix to lane, longest first, with the name and version of its item.
+type Lanes = Vec<(String, ItemName, ItemVersion, Shared<Lane>)>;
+
+/// What a node holds of the bill. Parts that did not change are shared with the one before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Programme {
+    pub position: Position,
+    lanes: Shared<std::collections::HashMap<String, Shared<Lanes>>>,
+    hosts: Shared<std::collections::HashMap<ItemName, String>>,
+    pub services: Shared<std::collections::BTreeMap<ServiceName, Service>>,
+    pub limits: Option<Limits>,
+    pub players: Shared<cast::Players>,
+    pub places: Shared<cast::Places>,
+    pub castings: Shared<std::collections::BTreeMap<ServiceName, Shared<Casting>>>,
+    /// Back ends that take new work, by service; follows from players and places.
+    cast: Shared<std::collections::HashMap<ServiceName, Shared<Vec<Onstage>>>>,
+}
+
+/// A back end that takes new work, with the place of the node beside it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Onstage {
+    pub name: BackEndName,
+    pub node: NodeName,
+    pub zone: crate::ZoneName,
+    pub address: String,
+    pub slots: u32,
+}
+
+impl Programme {
+    /// The longest prefix of this host that begins the path.
+    pub fn lane(&self, host: &str, path: &str) -> Option<(&ItemName, &Shared<Lane>)> {
+        let lanes = self.lanes.get(host)?;
+        lanes.iter().find(|(prefix, ..)| path.starts_with(prefix.as_str())).map(|(_, name, _, lane)| (name, lane))
+    }
+
+    pub fn has_lanes(&self) -> bool {
+        !self.lanes.is_empty()
+    }
+
+    pub fn lane_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// A back end that takes new work: registered, beside a node that is there.
+    pub fn takes_work(&self, player: &Player) -> bool {
+        player.phase == crate::Phase::Registered && self.places.get(&player.node).is_some_and(|place| place.present)
+    }
+
+    /// The whole of what a follower was told, or what changed since what it holds.
+    pub fn told(&self, afresh: bool, position: Position, deltas: Vec<Delta>) -> Programme {
+        let base = if afresh { Programme::default() } else { self.clone() };
+        let moves = deltas.iter().any(|delta| matches!(delta, Delta::Player(..) | Delta::Place(..)));
+        let mut next = deltas.into_iter().fold(base, Programme::with);
+        if moves {
+            next.cast = Shared::new(next.onstage());
+        }
+        Programme { position, ..next }
+    }
+
+    fn onstage(&self) -> std::collections::HashMap<ServiceName, Shared<Vec<Onstage>>> {
+        let working = self.players.iter().filter(|(_, player)| self.takes_work(player));
+        let placed = working.filter_map(|(name, player)| self.placed(name, player).map(|placed| (player.service.clone(), placed)));
+        let by_service = placed.fold(std::collections::HashMap::<ServiceName, Vec<Onstage>>::new(), |mut cast, (service, placed)| {
+            cast.entry(service).or_default().push(placed);
+            cast
+        });
+        by_service.into_iter().map(|(service, cast)| (service, Shared::new(cast))).collect()
+    }
+
+    fn placed(&self, name: &str, player: &Player) -> Option<Onstage> {
+        let place = self.places.get(&player.node)?;
+        Some(Onstage { name: name.into(), node: player.node.clone(), zone: player.zone.clone(), address: place.address.clone(), slots: player.slots })
+    }
+
+    pub fn cast(&self, service: &str) -> Shared<Vec<Onstage>> {
+        self.cast.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Where a back end is found, though it may take no new work.
+    pub fn find(&self, name: &str) -> Option<Onstage> {
+        self.players.get(name).and_then(|player| self.placed(name, player))
+    }
+
+    fn with(mut self, delta: Delta) -> Programme {
+        match delta {
+            Delta::Item(Kind::Lane, name, version, body) => self.put_lane(name, version, body),
+            Delta::Item(Kind::Service, name, _, Some(Body::Service(service))) => drop(Shared::make_mut(&mut self.services).insert(name, service)),
+            Delta::Item(Kind::Service, name, ..) => drop(Shared::make_mut(&mut self.services).remove(&name)),
+            Delta::Item(Kind::Limits, _, _, Some(Body::Limits(limits))) => self.limits = Some(limits),
+            Delta::Item(Kind::Limits, ..) => self.limits = None,
+            Delta::Player(name, Some(player)) => drop(Shared::make_mut(&mut self.players).insert(name, player)),
+            Delta::Player(name, None) => drop(Shared::make_mut(&mut self.players).remove(&name)),
+            Delta::Place(name, Some(place)) => drop(Shared::make_mut(&mut self.places).insert(name, place)),
+            Delta::Place(name, None) => drop(Shared::make_mut(&mut self.places).remove(&name)),
+            Delta::Rows(service, at, rows) => {
+                let held = self.castings.get(&service).map(|held| held.1.clone()).unwrap_or_default();
+                let next = (at, super::rows::patched(held, rows));
+                Shared::make_mut(&mut self.castings).insert(service, Shared::new(next));
+            }
+        }
+        self
+    }
+
+    fn put_lane(&mut self, name: ItemName, version: ItemVersion, body: Option<Body>) {
+        let (hosts, lanes) = (Shared::make_mut(&mut self.hosts), Shared::make_mut(&mut self.lanes));
+        if let Some(old) = hosts.remove(&name) {
+            let emptied = lanes.get_mut(&old).is_some_and(|held| {
+                let held = Shared::make_mut(held);
+                held.retain(|(_, other, ..)| *other != name);
+                held.is_empty()
+            });
+            if emptied {
+                lanes.remove(&old);
+            }
+        }
+        if let Some(Body::Lane(lane)) = body {
+            hosts.insert(name.clone(), lane.host.clone());
+            let held = Shared::make_mut(lanes.entry(lane.host.clone()).or_default());
+            held.push((lane.prefix.clone(), name, version, Shared::new(lane)));
+            held.sort_by(|one, other| other.0.len().cmp(&one.0.len()).then_with(|| one.0.cmp(&other.0)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/playbill/src/bill/items.rs
@@ -0,0 +1,177 @@
+//! What operators write item by item, each under a version of its own; the highest holds (design 11.1).
+
+use crate::{Micros, ServiceName};
+// `nested` and the derive need the trait in scope.
+use validator::Validate as _;
+
+pub type ItemVersion = u64;
+pub type ItemName = String;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[rkyv(derive(PartialEq, Eq, PartialOrd, Ord))]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Lane,
+    Service,
+    Limits,
+}
+
+/// Where requests of a host and a path prefix go, how long they may wait and how much they matter.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, validator::Validate, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lane {
+    #[validate(length(min = 1, max = 253, message = "names a host of 1 to 253 bytes"))]
+    pub host: String,
+    #[validate(custom(function = "crate::check::prefix"))]
+    pub prefix: String,
+    /// May run more than once without harm.
+    pub repeatable: bool,
+    #[validate(range(min = 1, max = 600_000_000, message = "is from 1 microsecond to ten minutes"))]
+    pub wait_us: Micros,
+    /// An answer within it is worth its full value; 0 is not said.
+    #[serde(default)]
+    pub aim_us: Micros,
+    /// 0 matters most.
+    #[serde(default)]
+    pub rank: u8,
+    /// The most back ends one try may go to.
+    #[validate(range(min = 1, max = 16, message = "is from 1 to 16"))]
+    pub dispatches: u8,
+    #[validate(length(min = 1, max = 32, message = "names 1 to 32 services"), custom(function = "crate::check::shares"))]
+    pub shares: Vec<(ServiceName, u32)>,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, validator::Validate, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    #[serde(default)]
+    pub health_path: String,
+    /// Conns one of its back ends takes, over all that call it; 0 is not said.
+    #[serde(default)]
+    pub conns: u32,
+    /// Divided by key: one back end at a time holds each key.
+    #[serde(default)]
+    pub keyed: bool,
+    #[serde(default)]
+    pub warm_us: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, validator::Validate, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    #[validate(range(min = 256, max = 1_048_576, message = "is from 256 bytes to 1 MiB"))]
+    pub header_bytes: u64,
+    #[validate(range(max = 1_073_741_824, message = "is at most 1 GiB"))]
+    pub body_bytes: u64,
+    #[validate(range(min = 1, max = 600_000_000, message = "is from 1 microsecond to ten minutes"))]
+    pub header_wait_us: Micros,
+    #[validate(range(min = 1, max = 86_400_000_000_u64, message = "is from 1 microsecond to a day"))]
+    pub idle_us: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Body {
+    Lane(Lane),
+    Service(Service),
+    Limits(Limits),
+}
+
+impl Body {
+    pub fn kind(&self) -> Kind {
+        match self {
+            Body::Lane(_) => Kind::Lane,
+            Body::Service(_) => Kind::Service,
+            Body::Limits(_) => Kind::Limits,
+        }
+    }
+
+    pub(crate) fn faults(&self, path: &str) -> Vec<crate::check::Fault> {
+        let checked = match self {
+            Body::Lane(lane) => lane.validate(),
+            Body::Service(service) => service.validate(),
+            Body::Limits(limits) => limits.validate(),
+        };
+        checked.err().map(|errors| crate::check::faults_of(path, &errors)).unwrap_or_default()
+    }
+}
+
+/// `text` is what the operator wrote, kept to be read back as it was sent; `None` was dropped.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Item {
+    pub version: ItemVersion,
+    pub body: Option<Body>,
+    pub text: String,
+}
+
+pub type Items = std::collections::BTreeMap<(Kind, ItemName), Item>;
+
+/// One call of an operator: whole or not at all, though its items hold each for itself.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Call {
+    #[serde(default)]
+    pub puts: Vec<Put>,
+    #[serde(default)]
+    pub drops: Vec<(Kind, ItemName, ItemVersion)>,
+}
+
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Put {
+    pub name: ItemName,
+    pub version: ItemVersion,
+    pub body: Body,
+    #[serde(default)]
+    pub text: String,
+}
+
+/// What of the call is newer than what stands, by key.
+pub fn newer(items: &Items, call: &Call) -> Items {
+    let puts = call.puts.iter().map(|put| {
+        let item = Item { version: put.version, body: Some(put.body.clone()), text: put.text.clone() };
+        ((put.body.kind(), put.name.clone()), item)
+    });
+    let drops = call.drops.iter().map(|(kind, name, version)| ((*kind, name.clone()), Item { version: *version, body: None, text: String::new() }));
+    puts.chain(drops).filter(|(key, item)| items.get(key).is_none_or(|held| held.version < item.version)).fold(Items::new(), |mut newer, (key, item)| {
+        // One name twice in a call: the higher version, like everywhere else.
+        if newer.get(&key).is_none_or(|held| held.version < item.version) {
+            newer.insert(key, item);
+        }
+        newer
+    })
+}
+
+/// Every fault of the call, judged by what would stand after it.
+pub fn faults(items: &Items, call: &Call) -> Vec<crate::check::Fault> {
+    let fault = |path: String, fault: String| crate::check::Fault { path, fault };
+    let named = call.puts.iter().filter(|put| put.name.is_empty() && put.body.kind() != Kind::Limits);
+    let nameless = named.map(|put| fault(format!("{:?}", put.body.kind()).to_lowercase(), "has no name".into()));
+    let alone = call.puts.iter().flat_map(|put| put.body.faults(&format!("{:?}.{}", put.body.kind(), put.name).to_lowercase()));
+    let newer = newer(items, call);
+    let after = |kind: Kind, name: &str| {
+        let key = (kind, name.to_string());
+        newer.get(&key).or_else(|| items.get(&key)).is_some_and(|item| item.body.is_some())
+    };
+    // Lanes that do not change were fine before; without a drop of a service they still are.
+    let services_go = newer.iter().any(|((kind, _), item)| *kind == Kind::Service && item.body.is_none());
+    let standing = || items.iter().filter(|(key, _)| !newer.contains_key(*key)).chain(newer.iter());
+    let lanes = |all: bool| {
+        let of = standing().filter_map(|((kind, name), item)| match (kind, &item.body) {
+            (Kind::Lane, Some(Body::Lane(lane))) => Some((name, lane)),
+            _ => None,
+        });
+        of.filter(|(name, _)| all || newer.contains_key(&(Kind::Lane, name.to_string()))).collect::<Vec<_>>()
+    };
+    let unknown = lanes(services_go).into_iter().flat_map(|(name, lane)| {
+        let missing = lane.shares.iter().filter(|(service, _)| !after(Kind::Service, service));
+        missing.map(|(service, _)| fault(format!("lane.{name}.shares"), format!("no service {service:?}"))).collect::<Vec<_>>()
+    });
+    let changed: std::collections::BTreeMap<(&str, &str), &String> =
+        lanes(false).into_iter().map(|(name, lane)| ((lane.host.as_str(), lane.prefix.as_str()), name)).collect();
+    let twice = lanes(true).into_iter().filter_map(|(name, lane)| {
+        let other = changed.get(&(lane.host.as_str(), lane.prefix.as_str())).filter(|other| **other != name)?;
+        Some(fault(format!("lane.{name}"), format!("shares host and prefix with {other:?}")))
+    });
+    nameless.chain(alone).chain(unknown).chain(twice).collect()
+}
--- a/crates/playbill/src/book.rs
+++ b/crates/playbill/src/book.rs
@@ -52,7 +52,7 @@
 
     pub fn apply(&mut self, entry: Entry) -> Outcome {
         match entry.act {
-            Act::Seat(_) | Act::Barrier => Outcome::Unchanged { position: self.position },
+            Act::Seat(_) | Act::Bill(_) | Act::Barrier => Outcome::Unchanged { position: self.position },
             Act::Change(change) => self.change(change),
             Act::Standing(report) => {
                 let known = self.origins.get(&entry.origin).cloned();
--- a/crates/playbill/src/check.rs
+++ b/crates/playbill/src/check.rs
@@ -49,6 +49,16 @@
     fine.then_some(()).ok_or_else(|| refuse("holds HTTP methods in capitals"))
 }
 
+pub(crate) fn prefix(prefix: &str) -> Result<(), validator::ValidationError> {
+    let fine = prefix.starts_with('/') && prefix.ends_with('/') && prefix.len() <= 1_024 && !prefix.contains(['?', '#', ' ']);
+    fine.then_some(()).ok_or_else(|| refuse("begins and ends with '/' and has no '?', '#' or space"))
+}
+
+pub(crate) fn shares(shares: &[(String, u32)]) -> Result<(), validator::ValidationError> {
+    let fine = shares.iter().all(|(service, _)| !service.is_empty()) && shares.iter().any(|(_, weight)| *weight > 0);
+    fine.then_some(()).ok_or_else(|| refuse("names services, and not all with weight 0"))
+}
+
 pub(crate) fn path(path: &str) -> Result<(), validator::ValidationError> {
     let fine = path.starts_with('/') && path.len() <= 256 && !path.contains(['?', '#', ' ']);
     fine.then_some(()).ok_or_else(|| refuse("starts with '/' and has no '?', '#' or space"))
--- a/crates/playbill/src/entry.rs
+++ b/crates/playbill/src/entry.rs
@@ -7,6 +7,8 @@
     Change(Change),
     Standing(standing::Report),
     Seat(SeatChange),
+    /// Items, back ends, nodes and rows of keys (design 11).
+    Bill(crate::bill::Act),
     /// Changes nothing; moves the log on.
     Barrier,
 }
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -1,5 +1,6 @@
 //! The words all parts of gradeford share: desired state, standing, terms, verdicts (design 2).
 
+pub mod bill;
 pub mod book;
 pub mod check;
 pub mod clock;
@@ -14,6 +15,7 @@
 pub mod terms;
 pub mod verdict;
 
+pub use bill::Bill;
 pub use book::Book;
 pub use clock::{Micros, now};
 pub use desired::{Change, DesiredState, Edit, Grouping, Order, Selector};
--- a/crates/playbill/src/verdict.rs
+++ b/crates/playbill/src/verdict.rs
@@ -38,6 +38,7 @@
     Leaving = "leaving", NotRun, 503;
     Draining = "draining", NotRun, 503;
     WrongIncarnation = "wrong_incarnation", NotRun, 503;
+    Refused = "refused", NotRun, 503;
     StaleFence = "stale_fence", NotRun, 503;
     TooLarge = "too_large", NotRun, 413;
     DuplicateTry = "duplicate_try", MayHaveRun, 409;
--- a/crates/prompter/src/env.rs
+++ b/crates/prompter/src/env.rs
@@ -111,6 +111,7 @@
             tuning: repertory::Tuning { alpha: self.alpha, tau: self.tau_us, beta: self.beta, ..Default::default() },
             snapshot_every: self.snapshot_every,
             replace_after: self.replace_after_us,
+            charter: None,
         }
     }
 }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -207,6 +207,7 @@
         tuning: Default::default(),
         snapshot_every: 500,
         replace_after: 3_000_000,
+        charter: None,
     };
     let sync_us: u64 = usage(arguments.value_from_str("--sync"));
     nothing_left(arguments);
--- /dev/null
+++ b/crates/troupe/src/desk.rs
@@ -0,0 +1,207 @@
+//! The one owner of the back end beside this node: its beats, its drain, its end (design 11.2).
+
+use crate::keys::{Grant, Keys, KeysEnv};
+use playbill::bill::{Key, Player, Report};
+use playbill::{Micros, Position};
+
+#[derive(Clone)]
+pub struct TroupeEnv {
+    pub node: String,
+    pub zone: String,
+    /// Where mates reach this node.
+    pub address: String,
+    pub life: u64,
+    pub keys: KeysEnv,
+    pub beat_every: Micros,
+    /// How long a draining back end still takes what is on its way.
+    pub drain: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub name: String,
+    pub service: String,
+    pub address: String,
+    pub zone: String,
+    pub slots: u32,
+    pub draining: bool,
+    pub sequence: u64,
+    pub holds: Vec<(Key, Key, Position)>,
+    pub freed: Vec<(Key, Key, String)>,
+}
+
+/// `None`: the beat renews nothing.
+pub type BeatAnswer = Option<(Vec<(Key, Key, Position, String)>, Micros)>;
+
+pub(crate) enum Command {
+    Beat(Box<Beat>, tokio::sync::oneshot::Sender<BeatAnswer>),
+    SignOff(String, tokio::sync::oneshot::Sender<()>),
+    Moved,
+    Tick,
+    Logged(Vec<Report>, Option<playbill::Outcome>),
+    Refuses(String, bool),
+}
+
+/// A back end as it told of itself.
+pub(crate) struct Own {
+    pub beat: Beat,
+    pub heard: Micros,
+    pub drained: Option<Micros>,
+    /// Until then it may hold what it was last told to.
+    pub held_until: Micros,
+    pub silent: bool,
+    pub probing: bool,
+}
+
+pub struct Owner {
+    pub(crate) env: TroupeEnv,
+    pub(crate) outlook: gallery::SharedOutlook,
+    pub(crate) pit: pit::Pit,
+    pub(crate) reports: gallery::Reports,
+    pub(crate) commands: tokio::sync::mpsc::Sender<Command>,
+    pub(crate) keys: Keys,
+    pub(crate) own: Option<Own>,
+    /// Ends still to be told, and whether each is sure.
+    pub(crate) ends: std::collections::BTreeMap<String, bool>,
+    pub(crate) facts: Vec<Report>,
+    pub(crate) telling: bool,
+    pub(crate) logger: slog::Logger,
+}
+
+#[derive(Clone)]
+pub struct Troupe(pub(crate) tokio::sync::mpsc::Sender<Command>);
+
+impl Troupe {
+    pub fn start(env: TroupeEnv, following: gallery::Following, pit: pit::Pit, reports: gallery::Reports, logger: slog::Logger) -> Troupe {
+        let (commands, mut buffer) = tokio::sync::mpsc::channel(1_024);
+        let keys = Keys::new(env.keys);
+        let outlook = following.outlook.clone();
+        let (ends, facts) = (Default::default(), Vec::new());
+        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own: None, ends, facts, telling: false, logger };
+        tokio::spawn(async move {
+            while let Some(command) = buffer.recv().await {
+                owner.take(command).await;
+            }
+        });
+        tokio::spawn(wake(commands.clone(), following.moved));
+        Troupe(commands)
+    }
+
+    /// `None`: the owner is gone.
+    pub async fn beat(&self, beat: Beat) -> Option<BeatAnswer> {
+        let (answer, answered) = tokio::sync::oneshot::channel();
+        self.0.send(Command::Beat(Box::new(beat), answer)).await.ok()?;
+        answered.await.ok()
+    }
+
+    pub async fn sign_off(&self, name: String) -> Option<()> {
+        let (answer, answered) = tokio::sync::oneshot::channel();
+        self.0.send(Command::SignOff(name, answer)).await.ok()?;
+        answered.await.ok()
+    }
+}
+
+async fn wake(commands: tokio::sync::mpsc::Sender<Command>, mut moved: tokio::sync::watch::Receiver<u64>) {
+    let mut every = tokio::time::interval(std::time::Duration::from_millis(250));
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let command = tokio::select! {
+            changed = moved.changed() => if changed.is_err() { return } else { Command::Moved },
+            _ = every.tick() => Command::Tick,
+        };
+        if commands.send(command).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Owner {
+    async fn take(&mut self, command: Command) {
+        match command {
+            Command::Beat(beat, answer) => drop(answer.send(self.beat(*beat))),
+            Command::SignOff(name, answer) => {
+                self.ends.entry(name.clone()).or_insert(false);
+                if let Some(own) = self.own.as_mut().filter(|own| own.beat.name == name) {
+                    own.drained.get_or_insert(playbill::now());
+                    own.silent = true;
+                }
+                answer.send(()).unwrap_or_default();
+            }
+            Command::Moved => {
+                let programme = self.outlook.load().programme.clone();
+                if let Some(own) = &self.own {
+                    let rows = programme.castings.get(&own.beat.service);
+                    rows.into_iter().for_each(|rows| self.keys.observe(playbill::now(), &rows.1, &own.beat.name));
+                }
+            }
+            Command::Tick => self.mind_silence(),
+            Command::Logged(told, outcome) => self.logged(told, outcome),
+            Command::Refuses(name, refuses) => self.refuses(&name, refuses),
+        }
+        self.tell();
+        let local = self.local();
+        self.pit.local(local).await;
+    }
+
+    fn beat(&mut self, beat: Beat) -> BeatAnswer {
+        let now = playbill::now();
+        if self.ends.contains_key(&beat.name) {
+            return None;
+        }
+        let late = self.own.as_ref().is_some_and(|own| own.beat.name == beat.name && own.beat.sequence >= beat.sequence);
+        if late {
+            return None;
+        }
+        if let Some(earlier) = self.own.take_if(|own| own.beat.name != beat.name) {
+            // One back end to a machine: the earlier life is over, its process with it.
+            self.ends.insert(earlier.beat.name, true);
+        }
+        let programme = self.outlook.load().programme.clone();
+        let proved = self.outlook.load().proved;
+        if !beat.freed.is_empty() {
+            let (service, name) = (beat.service.clone(), beat.name.clone());
+            self.facts.push(Report::Released { service, name, through: programme.position, rows: beat.freed.clone() });
+        }
+        let held = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
+        let drained = self.own.as_ref().and_then(|own| own.drained).or(beat.draining.then_some(now));
+        let mut own = Own { heard: now, drained, held_until: held, silent: false, probing: false, beat };
+        let rows = programme.castings.get(&own.beat.service).map(|held| held.1.clone()).unwrap_or_default();
+        let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
+        let grant = self.keys.grant(now, proved, &rows, &own.beat.name, &own.beat.holds).filter(|_| keyed);
+        let answer = grant.map(|grant| self.granted(now, &mut own, grant));
+        self.own = Some(own);
+        answer
+    }
+
+    fn granted(&mut self, now: Micros, own: &mut Own, grant: Grant) -> (Vec<(Key, Key, Position, String)>, Micros) {
+        if !grant.settled.is_empty() {
+            self.facts.push(Report::Settled { service: own.beat.service.clone(), rows: grant.settled });
+        }
+        own.held_until = now + grant.hold;
+        // What it was told is what it holds from here on.
+        own.beat.holds = grant.rows.iter().map(|(from, to, fence, _)| (*from, *to, *fence)).collect();
+        (grant.rows, grant.hold)
+    }
+
+    /// The back end as the owner of its slots has to know it.
+    fn local(&self) -> Option<pit::Local> {
+        let own = self.own.as_ref()?;
+        let programme = self.outlook.load().programme.clone();
+        let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
+        let rows = || own.beat.holds.iter().map(|(from, to, _)| (*from, *to)).collect();
+        let margin = self.env.beat_every / 8;
+        Some(pit::Local {
+            name: own.beat.name.clone(),
+            address: own.beat.address.clone(),
+            slots: own.beat.slots,
+            closes: own.drained.map(|drained| drained + self.env.drain * 3 / 4),
+            holding: keyed.then(|| pit::Holding { rows: rows(), until: own.held_until.saturating_sub(margin), coming: Vec::new() }),
+        })
+    }
+
+    pub(crate) fn player(&self, own: &Own) -> Player {
+        let beat = &own.beat;
+        let phase = if own.drained.is_some() { playbill::Phase::Draining } else { playbill::Phase::Registered };
+        Player { service: beat.service.clone(), zone: beat.zone.clone(), node: self.env.node.clone(), slots: beat.slots, phase, since: 0 }
+    }
+}
--- /dev/null
+++ b/crates/troupe/src/lib.rs
@@ -0,0 +1,14 @@
+//! The back ends beside a node: beats and ends, keys granted and let go, and who is to hold which (design 11).
+
+mod casting;
+mod desk;
+mod duty;
+mod facts;
+mod keys;
+mod node;
+mod watch;
+
+pub use casting::{Part, cast};
+pub use desk::{Beat, BeatAnswer, Troupe, TroupeEnv};
+pub use keys::{Grant, Keys, KeysEnv};
+pub use node::{Node, NodeEnv};
--- /dev/null
+++ b/crates/troupe/src/node.rs
@@ -0,0 +1,105 @@
+//! Puts the parts of a node together, and takes them down in order (design 13.7).
+
+#[derive(Clone)]
+pub struct NodeEnv {
+    pub troupe: crate::TroupeEnv,
+    /// The service of this machine.
+    pub service: String,
+    pub seeds: Vec<String>,
+    pub words: lobby::words::Words,
+    pub pick: apron::PickEnv,
+    pub ahead: u32,
+    pub ask_every: playbill::Micros,
+    pub watch_every: playbill::Micros,
+    pub watch_patience: playbill::Micros,
+}
+
+pub struct Node {
+    pub troupe: crate::Troupe,
+    pub front: apron::Front,
+    pub following: gallery::Following,
+    pub known: gallery::Known,
+    pit: pit::Pit,
+    calls: apron::Calls,
+    leaving: tokio::sync::watch::Sender<bool>,
+}
+
+impl Node {
+    /// `mates` is bound already; its address stands in the settings.
+    pub fn start(env: NodeEnv, mates: tokio::net::TcpListener, logger: slog::Logger) -> Node {
+        let own = &env.troupe;
+        let known = gallery::acquaint::nobody();
+        let greet = greeter(&env, known.clone());
+        let greeting = |purpose| {
+            let greet = greet.clone();
+            move || (greet)(purpose)
+        };
+        let line = gallery::FollowingEnv { name: own.node.clone(), zone: own.zone.clone(), ask_every: env.ask_every, patience: env.ask_every * 2 };
+        let following = gallery::following::start(line, known.clone(), greeting(wings::Purpose::Subscribe), logger.clone());
+        let reporting = gallery::ReportingEnv { name: own.node.clone(), life: own.life, logger: logger.clone() };
+        let reports = gallery::Reports::start(reporting, known.clone(), greeting(wings::Purpose::Subscribe));
+        let pit = pit::Pit::start(pit::PitEnv { words: env.words.clone(), ahead: env.ahead });
+        let troupe = crate::Troupe::start(own.clone(), following.clone(), pit.clone(), reports.clone(), logger.clone());
+        let watching = crate::watch::WatchEnv { node: own.node.clone(), beat_every: env.watch_every, patience: env.watch_patience };
+        let heard = crate::watch::start(watching, following.outlook.clone(), reports.clone(), greet.clone());
+        tokio::spawn(apron::listen(mates, greet.clone(), known.clone(), pit.clone(), heard));
+        tokio::spawn(gallery::acquaint::run(known.clone(), env.seeds.clone(), greeting(wings::Purpose::Acquaint), || 3));
+        // The duty of placing keys goes with the back end beside this node.
+        tokio::spawn(crate::duty::run((own.node.clone(), env.service.clone()), following.clone(), reports, logger.clone()));
+        let calls = apron::Calls::default();
+        let apron = apron::Apron {
+            node: own.node.clone(),
+            zone: own.zone.clone(),
+            service: env.service.clone(),
+            outlook: following.outlook.clone(),
+            pit: pit.clone(),
+            mates: apron::Mates::start(greet),
+            picks: apron::Picks::start(env.pick, following.outlook.clone()),
+            calls: calls.clone(),
+            logger,
+        };
+        let front = apron::Front { env: apron::FrontEnv { words: env.words }, apron };
+        Node { troupe, front, following, known, pit, calls, leaving: tokio::sync::watch::Sender::new(false) }
+    }
+
+    pub fn serve(&self, listener: tokio::net::TcpListener) {
+        tokio::spawn(self.front.clone().serve(listener, self.leaving.subscribe()));
+    }
+
+    /// Knows what is to be served, and is not on its way out.
+    pub fn ready(&self) -> bool {
+        let outlook = self.following.outlook.load();
+        outlook.proved > 0 && outlook.programme.has_lanes() && !*self.leaving.borrow()
+    }
+
+    /// Takes nothing new, and returns once all that was taken has its answer, or patience is over.
+    pub async fn stop(&self, patience: std::time::Duration) {
+        self.leaving.send_replace(true);
+        self.calls.leave();
+        self.pit.leave().await;
+        let ended = async {
+            self.calls.ended().await;
+            while self.pit.load().await.0 > 0 {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+            // Answers that were given are still on their way out of this process.
+            tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        };
+        drop(tokio::time::timeout(patience, ended).await);
+    }
+}
+
+fn greeter(env: &NodeEnv, known: gallery::Known) -> std::sync::Arc<dyn Fn(wings::Purpose) -> wings::Greeting + Send + Sync> {
+    let own = env.troupe.clone();
+    std::sync::Arc::new(move |purpose| wings::Greeting {
+        purpose,
+        name: own.node.clone(),
+        zone: own.zone.clone(),
+        address: own.address.clone(),
+        incarnation: own.life,
+        core: None,
+        blank: false,
+        expects: None,
+        known: gallery::acquaint::list(&known),
+    })
+}
--- /dev/null
+++ b/crates/troupe/src/watch.rs
@@ -0,0 +1,75 @@
+//! Beats to this node's watchers on the ring of nodes, and the watch over its wards (design 5.10).
+
+use playbill::bill::Report;
+
+fn ring(programme: &playbill::bill::Programme) -> std::collections::BTreeMap<String, playbill::Node> {
+    let node = |place: &playbill::bill::Place| playbill::Node {
+        zone: place.zone.clone(),
+        address: place.address.clone(),
+        incarnation: place.life,
+        present: place.present,
+        reporters: Default::default(),
+        since: place.since,
+    };
+    programme.places.iter().map(|(name, place)| (name.clone(), node(place))).collect()
+}
+
+pub struct WatchEnv {
+    pub node: String,
+    pub beat_every: playbill::Micros,
+    pub patience: playbill::Micros,
+}
+
+pub fn start(
+    env: WatchEnv,
+    outlook: gallery::SharedOutlook,
+    reports: gallery::Reports,
+    greet: std::sync::Arc<dyn Fn(wings::Purpose) -> wings::Greeting + Send + Sync>,
+) -> apron::Heard {
+    let (heard, mut hears) = tokio::sync::mpsc::channel::<(String, u64)>(1_024);
+    tokio::spawn(async move {
+        let mut watch = gallery::ring::Watch::default();
+        let mut lines: std::collections::BTreeMap<String, tokio::sync::mpsc::Sender<wings::Frame>> = Default::default();
+        let mut every = tokio::time::interval(std::time::Duration::from_micros(env.beat_every));
+        every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                told = hears.recv() => match told {
+                    Some((node, life)) => watch.heard(playbill::now(), &node, life),
+                    None => return,
+                },
+                _ = every.tick() => {
+                    let nodes = ring(&outlook.load().programme);
+                    let named = gallery::ring::watchers(&nodes, &env.node).into_iter();
+                    let addresses: std::collections::BTreeSet<String> = named.filter_map(|watcher| nodes.get(&watcher).map(|node| node.address.clone())).collect();
+                    lines.retain(|address, line| addresses.contains(address) && line.try_send(wings::Frame::Beat).is_ok());
+                    addresses.into_iter().filter(|address| !lines.contains_key(address)).collect::<Vec<_>>().into_iter().for_each(|address| {
+                        let (line, beats) = tokio::sync::mpsc::channel(4);
+                        lines.insert(address.clone(), line);
+                        tokio::spawn(carry(address, (greet)(wings::Purpose::Watch), beats));
+                    });
+                    let missed = watch.tick(playbill::now(), &nodes, &env.node, env.patience);
+                    let told: Vec<Report> = missed.into_iter().filter_map(|report| match report {
+                        playbill::standing::Report::Watch { watcher, node, incarnation, missed } => Some(Report::Watch { watcher, node, life: incarnation, missed }),
+                        _ => None,
+                    }).collect();
+                    if !told.is_empty() {
+                        let reports = reports.clone();
+                        tokio::spawn(async move { drop(reports.report(told).await) });
+                    }
+                }
+            }
+        }
+    });
+    heard
+}
+
+async fn carry(address: String, own: wings::Greeting, mut beats: tokio::sync::mpsc::Receiver<wings::Frame>) {
+    let Ok(conn) = wings::dial(&address, own).await else { return };
+    drop(conn.sender.send(wings::Frame::Beat).await);
+    while let Some(beat) = beats.recv().await {
+        if conn.sender.send(beat).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/vault/src/identity.rs
+++ b/crates/vault/src/identity.rs
@@ -2,6 +2,13 @@
 
 /// A new disk draws a number; the same seat on another disk is another identity.
 pub type Identity = u64;
+/// The seat a disk was given; `founded`: with the core itself, so that it has no past to learn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Charter {
+    pub seat: u16,
+    pub seats: u16,
+    pub founded: bool,
+}
 pub type Pins = std::collections::BTreeMap<u16, Identity>;
 
 pub(crate) fn draw() -> Identity {
--- a/crates/vault/src/lib.rs
+++ b/crates/vault/src/lib.rs
@@ -4,7 +4,7 @@
 mod keeper;
 mod shelf;
 
-pub use identity::{Identity, Pins};
+pub use identity::{Charter, Identity, Pins};
 pub use keeper::{Job, keep};
 pub use shelf::Shelf;
 
--- a/crates/vault/src/shelf.rs
+++ b/crates/vault/src/shelf.rs
@@ -15,6 +15,8 @@
     next: u64,
     pub identity: crate::Identity,
     pub pins: crate::Pins,
+    /// The seat this disk was given, if it was not told by settings.
+    pub charter: Option<crate::Charter>,
 }
 
 fn store<E: Into<redb::Error>>(error: E) -> crate::Trouble {
@@ -37,7 +39,7 @@
     fn load(opener: Opener) -> Result<(Shelf, Vec<repertory::Write>), crate::Trouble> {
         let database = opener()?;
         let change = database.begin_write().map_err(store)?;
-        let (identity, pins, raw) = {
+        let (identity, charter, pins, raw) = {
             let mut meta = change.open_table(META).map_err(store)?;
             let found = meta.get("layout").map_err(store)?.map(|held| held.value());
             match found {
@@ -49,6 +51,9 @@
                 }
             }
             let identity = meta.get("identity").map_err(store)?.map(|held| held.value()).unwrap_or_default();
+            let word = |name: &str| meta.get(name).map(|held| held.map(|held| held.value())).map_err(store);
+            let charter = word("seat")?.zip(word("seats")?).zip(word("founded")?);
+            let charter = charter.map(|((seat, seats), founded)| crate::Charter { seat: seat as u16, seats: seats as u16, founded: founded == 1 });
             let pins = change.open_table(PINS).map_err(store)?;
             let pins = pins
                 .iter()
@@ -61,13 +66,13 @@
                 .map_err(store)?
                 .map(|row| row.map(|(at, bytes)| (at.value(), bytes.value().to_vec())).map_err(store))
                 .collect::<Result<Vec<(u64, Vec<u8>)>, _>>()?;
-            (identity, pins, raw)
+            (identity, charter, pins, raw)
         };
         change.commit().map_err(store)?;
         let next = raw.last().map(|(at, _)| at + 1).unwrap_or(0);
         let writes =
             raw.into_iter().map(|(at, bytes)| decode(&bytes).ok_or(crate::Trouble::Damaged { at })).collect::<Result<Vec<Vec<repertory::Write>>, _>>()?;
-        Ok((Shelf { store: Some(database), opener, next, identity, pins }, writes.into_iter().flatten().collect()))
+        Ok((Shelf { store: Some(database), opener, next, identity, pins, charter }, writes.into_iter().flatten().collect()))
     }
 
     /// One transaction, one sync. `afresh` replaces all that was kept. After a failure it may be called
@@ -119,6 +124,20 @@
         Ok(())
     }
 
+    /// Keeps which seat this disk was given and, at a founding, who holds the others (design 12.1).
+    pub fn take_seat(&mut self, charter: crate::Charter, pins: &[(u16, crate::Identity)]) -> Result<(), crate::Trouble> {
+        self.change(|change| {
+            let mut meta = change.open_table(META).map_err(store)?;
+            let words = [("seat", charter.seat as u64), ("seats", charter.seats as u64), ("founded", charter.founded as u64)];
+            words.iter().try_for_each(|(name, held)| meta.insert(name, held).map(drop).map_err(store))?;
+            let mut table = change.open_table(PINS).map_err(store)?;
+            pins.iter().filter(|(seat, _)| *seat != charter.seat).try_for_each(|(seat, identity)| table.insert(seat, identity).map(drop).map_err(store))
+        })?;
+        self.pins.extend(pins.iter().filter(|(seat, _)| *seat != charter.seat).copied());
+        self.charter = Some(charter);
+        Ok(())
+    }
+
     /// Binds a seat to the disk first met in it. Answers the identity held afterwards.
     pub fn pin(&mut self, seat: u16, identity: crate::Identity) -> Result<crate::Identity, crate::Trouble> {
         if let Some(held) = self.pins.get(&seat) {
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -16,6 +16,8 @@
     Watch,
     /// A look at what a node believes.
     Look,
+    /// A core machine without a seat asks for one (design 12.1).
+    Enlist,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -23,6 +25,7 @@
     pub seat: u16,
     pub identity: u64,
     pub address: String,
+    pub zone: ZoneName,
     /// The later start is the better address.
     pub started: Micros,
 }
@@ -78,6 +81,36 @@
     pub seal: String,
 }
 
+/// A request on its way to the node beside the back end that is to run it (design 13.2).
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Cue {
+    pub number: u64,
+    pub back_end: BackEndName,
+    /// The service of the machine where the request began.
+    pub caller: ServiceName,
+    pub method: String,
+    /// Path and query as they were sent.
+    pub target: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub key: Option<u16>,
+    /// What is left of the wait, and of the time in which an answer is worth most.
+    pub left: Micros,
+    pub aim: Micros,
+    pub rank: u8,
+    pub repeatable: bool,
+    /// The far side's latest mark seen on this conn.
+    pub mark: u64,
+}
+
+/// A back end's answer as it came, and what the far side knows of the wait for the next.
+#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Take {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
 /// Large parts are boxed: a frame is as long as its longest part that is not.
 #[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Frame {
@@ -123,6 +156,34 @@
     },
     Look,
     Seen(Vec<u8>),
+    /// Changes of the bill are wanted from here on (design 11.3).
+    Follow {
+        held: Position,
+    },
+    /// `deltas`: an `rkyv` list. `afresh` is all that stands, else what changed since `from`.
+    Bulletin {
+        afresh: bool,
+        from: Position,
+        to: Position,
+        deltas: Vec<u8>,
+    },
+    Cue(Box<Cue>),
+    Taken {
+        number: u64,
+        /// How long a request would wait there now, and whom it speaks of.
+        wait: Micros,
+        take: Box<Result<Take, playbill::Trouble>>,
+    },
+    /// The sender takes nothing new: it stops in good order.
+    Leaving,
+    /// Which seat a core machine is to take; `founded` says with whom the core begins (design 12.1).
+    Roster {
+        seat: u16,
+        seats: u16,
+        founded: bool,
+        pins: Vec<(u16, u64)>,
+    },
+    NoSeat,
     /// Where a disk took its seat over by no change, this is the first word instead of `Admit`.
     Founder,
 }
--- a/crates/wings/src/hail.rs
+++ b/crates/wings/src/hail.rs
@@ -2,12 +2,16 @@
 
 const PATIENCE: std::time::Duration = std::time::Duration::from_secs(1);
 
+const SILENCE: std::time::Duration = std::time::Duration::from_secs(3);
+
 async fn in_time<T>(work: impl Future<Output = Result<T, crate::Trouble>>) -> Result<T, crate::Trouble> {
     tokio::time::timeout(PATIENCE, work).await.unwrap_or(Err(crate::Trouble::Slow))
 }
 
 fn halves(stream: tokio::net::TcpStream) -> std::io::Result<(crate::conn::Reader, crate::conn::Writer)> {
     stream.set_nodelay(true)?;
+    // A machine without power says nothing: what it has not taken by then ends the conn.
+    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE))?;
     let (reader, writer) = stream.into_split();
     Ok((tokio::io::BufReader::with_capacity(64 * 1024, reader), writer))
 }
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -10,7 +10,7 @@
 pub use hail::{accept, dial};
 
 /// Spoken version; a mate with another is refused with both numbers.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 /// The longest frame taken from a mate.
 pub const FRAME_LIMIT: usize = 16 * 1024 * 1024;
 
