--- a/crates/gallery/src/bulletin.rs
+++ b/crates/gallery/src/bulletin.rs
@@ -53,6 +53,10 @@
         self.asks.insert(token, (number, sender));
     }
 
+    pub fn waits(&self) -> bool {
+        !self.asks.is_empty()
+    }
+
     /// On the channel that the news took before it. A channel that is full has lost its follower anyway.
     pub fn proved(&mut self, token: u64) {
         if let Some((number, sender)) = self.asks.remove(&token) {
--- a/crates/gallery/src/core_effects.rs
+++ b/crates/gallery/src/core_effects.rs
@@ -59,8 +59,12 @@
         slog::debug!(self.core.logger, "applied"; "instance" => instance, "position" => self.book.position, "origin" => &asked.0, "outcome" => ?outcome);
         self.waiting.remove(&asked).into_iter().flatten().for_each(|answer| drop(answer.send(outcome.clone())));
         self.since_snapshot += 1;
-        if self.since_snapshot >= self.core.env.snapshot_every {
+        // Past a change of holders all below it is kept as a state: its instances could be finished only by the disks
+        // that may vote there, and one of them is gone (design 4.4).
+        let handed_over = self.book.seats.values().any(|(_, after)| (self.snapshot_at..=instance).contains(after));
+        if self.since_snapshot >= self.core.env.snapshot_every || handed_over {
             self.since_snapshot = 0;
+            self.snapshot_at = instance + 1;
             let state = crate::bulletin::packed(&self.book, &self.bill.bill);
             self.step(playbill::now(), repertory::Input::Snapshot { through: instance + 1, state });
         }
@@ -78,6 +82,7 @@
             let vacant = self.away.iter().filter(|(seat, since)| **seat != self.core.env.seat && now >= **since + patience);
             self.state.vacant = vacant.map(|(seat, _)| *seat).collect();
         }
+        self.mind_standstill();
         // Askers that gave up are let go.
         self.reads.retain(|_, answer| !answer.is_closed());
         self.waiting.retain(|_, answers| answers.iter().any(|answer| !answer.is_closed()));
@@ -85,4 +90,19 @@
             self.core.state.store(std::sync::Arc::new(self.state.clone()));
         }
     }
+
+    /// Someone waits, and the log does not move: told now and then, with all that shows why.
+    fn mind_standstill(&mut self) {
+        let now = playbill::now();
+        let waits = !self.waiting.is_empty() || self.bill.waits();
+        if self.stood.0 != self.state.applied || !waits {
+            self.stood = (self.state.applied, now);
+        }
+        if now > self.stood.1 + STANDSTILL {
+            self.stood.1 = now;
+            slog::warn!(self.core.logger, "the log stands"; "state" => ?self.state, "mates" => self.machine.as_ref().map(repertory::Repertory::mates_told).unwrap_or_default());
+        }
+    }
 }
+
+const STANDSTILL: playbill::Micros = 2_000_000;
--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -19,8 +19,12 @@
     pub(crate) reads: std::collections::BTreeMap<u64, tokio::sync::oneshot::Sender<playbill::Position>>,
     read_tokens: u64,
     pub(crate) since_snapshot: u64,
+    /// Where the latest own snapshot ends.
+    pub(crate) snapshot_at: u64,
     pub(crate) state: CoreState,
     pub(crate) leapt: playbill::Micros,
+    /// Where the log stood when it last moved, and when that was.
+    pub(crate) stood: (u64, playbill::Micros),
     /// Mates that take this disk for the first in its seat.
     founders: std::collections::BTreeSet<u16>,
     /// Seats without a channel, since when; and when a change of holder was last asked for.
@@ -46,8 +50,10 @@
             reads: Default::default(),
             read_tokens: 0,
             since_snapshot: 0,
+            snapshot_at: 0,
             state,
             leapt: 0,
+            stood: (0, 0),
             founders: Default::default(),
             away: (0..core.env.seats).map(|seat| (seat, playbill::now())).collect(),
             asked_for: 0,
--- a/crates/repertory/src/lib.rs
+++ b/crates/repertory/src/lib.rs
@@ -10,6 +10,7 @@
 mod revoke;
 mod share;
 mod spans;
+mod status;
 mod suggest;
 mod tenure;
 mod tick;
