Keys are placed by load; beats' answers wait for news; nodes follow their own zone's seat

Cause: keys were cut evenly while a tenth of them draws two thirds of the requests; a move waited for two beats of 1.5 s; most nodes followed the first seat they had heard of, across zones. Change: each node tells what its back end's keys are asked for and how long its runs take; the node with the duty moves what is above a fair share. An answer to a beat is kept back up to 0.65 s while there is nothing to say. A node leaves an upstream that leaves an asking without proof for half a second, and goes to its own zone's seat.

--- a/crates/apron/src/lib.rs
+++ b/crates/apron/src/lib.rs
@@ -10,6 +10,6 @@
 pub use calls::{Calls, UnderWay};
 pub use course::{Apron, Ask};
 pub use front::{Front, FrontEnv};
-pub use listen::{Heard, listen};
+pub use listen::{Heard, Loads, listen};
 pub use mates::Mates;
 pub use picker::{PickEnv, Picks};
--- a/crates/apron/src/listen.rs
+++ b/crates/apron/src/listen.rs
@@ -2,11 +2,13 @@
 
 /// Tells the watch that a ward was heard.
 pub type Heard = tokio::sync::mpsc::Sender<(String, playbill::Incarnation)>;
+/// What back ends are asked for, told to whoever places keys here.
+pub type Loads = tokio::sync::mpsc::Sender<wings::Load>;
 
-pub async fn listen(listener: tokio::net::TcpListener, greet: crate::mates::Greet, known: gallery::Known, pit: pit::Pit, heard: Heard) {
+pub async fn listen(listener: tokio::net::TcpListener, greet: crate::mates::Greet, known: gallery::Known, pit: pit::Pit, (heard, loads): (Heard, Loads)) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            let (greet, known, pit, heard) = (greet.clone(), known.clone(), pit.clone(), heard.clone());
+            let (greet, known, pit, heard) = (greet.clone(), known.clone(), pit.clone(), (heard.clone(), loads.clone()));
             tokio::spawn(async move {
                 let accepted = wings::accept(stream, |caller| async move {
                     gallery::acquaint::merge(&known, caller.known);
@@ -24,7 +26,7 @@
     }
 }
 
-async fn serve(mut conn: wings::Conn, pit: pit::Pit, heard: Heard) {
+async fn serve(mut conn: wings::Conn, pit: pit::Pit, (heard, loads): (Heard, Loads)) {
     while let Some(frame) = conn.receiver.recv().await {
         match frame {
             wings::Frame::Cue(cue) => {
@@ -36,6 +38,8 @@
                 });
             }
             wings::Frame::Beat => heard.send((conn.greeting.name.clone(), conn.greeting.incarnation)).await.unwrap_or_default(),
+            // A telling that finds no room is followed by the next.
+            wings::Frame::Load(load) => drop(loads.try_send(*load)),
             _ => {}
         }
     }
--- a/crates/apron/src/mates.rs
+++ b/crates/apron/src/mates.rs
@@ -3,7 +3,12 @@
 use playbill::{Cause, Trouble};
 
 type Answer = tokio::sync::oneshot::Sender<pit::Outcome>;
-type Asked = (Box<wings::Cue>, Answer);
+
+enum Asked {
+    Cue(Box<wings::Cue>, Answer),
+    /// Said once, without an answer.
+    Word(wings::Frame),
+}
 
 pub type Greet = std::sync::Arc<dyn Fn(wings::Purpose) -> wings::Greeting + Send + Sync>;
 
@@ -26,13 +31,18 @@
     pub async fn call(&self, address: &str, cue: Box<wings::Cue>) -> pit::Outcome {
         let (answer, outcome) = tokio::sync::oneshot::channel();
         let line = self.line(address);
-        if let Err(tokio::sync::mpsc::error::TrySendError::Full(_)) = line.try_send((cue, answer)) {
+        if let Err(tokio::sync::mpsc::error::TrySendError::Full(_)) = line.try_send(Asked::Cue(cue, answer)) {
             return (Err(Trouble::new(Cause::Unreachable, "too much waits for that node")), 0);
         }
         // A queue that closed, or a task that ended with it in hand, has written nothing.
         outcome.await.unwrap_or_else(|_| (Err(Trouble::new(Cause::Unreachable, "the conn to that node ended")), 0))
     }
 
+    /// Something that may as well be lost.
+    pub fn tell(&self, address: &str, word: wings::Frame) {
+        drop(self.line(address).try_send(Asked::Word(word)));
+    }
+
     /// The lock is a leaf: nothing is awaited or locked under it (design 8.1).
     fn line(&self, address: &str) -> tokio::sync::mpsc::Sender<Asked> {
         let mut lines = self.lines.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
@@ -52,8 +62,10 @@
         Ok(conn) => conn,
         Err(trouble) => {
             asked.close();
-            while let Some((_, answer)) = asked.recv().await {
-                drop(answer.send((Err(Trouble::new(Cause::Unreachable, trouble.to_string())), 0)));
+            while let Some(next) = asked.recv().await {
+                if let Asked::Cue(_, answer) = next {
+                    drop(answer.send((Err(Trouble::new(Cause::Unreachable, trouble.to_string())), 0)));
+                }
             }
             return;
         }
@@ -63,7 +75,14 @@
     loop {
         tokio::select! {
             next = asked.recv() => {
-                let Some((mut cue, answer)) = next else { return };
+                let (mut cue, answer) = match next {
+                    Some(Asked::Cue(cue, answer)) => (cue, answer),
+                    Some(Asked::Word(word)) => {
+                        drop(conn.sender.try_send(word));
+                        continue;
+                    }
+                    None => return,
+                };
                 numbers += 1;
                 cue.number = numbers;
                 match conn.sender.try_send(wings::Frame::Cue(cue)) {
--- a/crates/gallery/src/following.rs
+++ b/crates/gallery/src/following.rs
@@ -15,7 +15,7 @@
     pub name: String,
     pub zone: String,
     pub ask_every: playbill::Micros,
-    /// An upstream that proves nothing for so long is left for another.
+    /// An upstream that leaves an asking without a proof for so long is left for another.
     pub patience: playbill::Micros,
 }
 
@@ -26,6 +26,9 @@
     pub moved: tokio::sync::watch::Receiver<u64>,
 }
 
+/// A node that follows a seat of another zone looks again after so long.
+const SETTLED: playbill::Micros = 2_000_000;
+
 struct Line<G> {
     env: FollowingEnv,
     known: crate::Known,
@@ -34,13 +37,15 @@
     moved: tokio::sync::watch::Sender<u64>,
     asks: std::collections::VecDeque<(u64, playbill::Micros)>,
     numbers: u64,
+    /// How often it left a seat of another zone for its own.
+    looks: u32,
     logger: slog::Logger,
 }
 
 pub fn start<G: Fn() -> wings::Greeting + Send + Sync + 'static>(env: FollowingEnv, known: crate::Known, greeting: G, logger: slog::Logger) -> Following {
     let (moved, watch) = tokio::sync::watch::channel(0);
     let outlook: SharedOutlook = Default::default();
-    let line = Line { env, known, greeting, outlook: outlook.clone(), moved, asks: Default::default(), numbers: 0, logger };
+    let line = Line { env, known, greeting, outlook: outlook.clone(), moved, asks: Default::default(), numbers: 0, looks: 0, logger };
     tokio::spawn(line.run());
     Following { outlook, moved: watch }
 }
@@ -62,7 +67,7 @@
                     Ok(conn) => {
                         crate::acquaint::merge(&self.known, conn.greeting.known.clone());
                         slog::info!(self.logger, "follows"; "upstream" => &conn.greeting.name);
-                        // One that served well is asked again first.
+                        // One that is gone may be back at once; one that proves nothing is left for the next.
                         turn = if self.attend(conn).await { 0 } else { turn + 1 };
                     }
                     Err(trouble) => {
@@ -75,31 +80,38 @@
         }
     }
 
-    /// Whether it was any use.
+    /// Whether it proved what it told to the end.
     async fn attend(&mut self, mut conn: wings::Conn) -> bool {
         self.asks.clear();
-        let began = playbill::now();
         let held = self.outlook.load().programme.position;
         let mut fine = conn.sender.send(wings::Frame::Follow { held }).await.is_ok();
-        let mut proved = began;
+        let (mut proved, began, away) = (false, playbill::now(), conn.greeting.zone != self.env.zone);
         let mut every = tokio::time::interval(std::time::Duration::from_micros(self.env.ask_every));
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         while fine {
             fine = tokio::select! {
                 frame = conn.receiver.recv() => frame.is_some_and(|frame| self.take(frame, &mut proved)),
                 _ = every.tick() => {
+                    let now = playbill::now();
+                    // A seat of the own zone became known, or came back: news that crosses no zone is followed there.
+                    if began + (SETTLED << self.looks.min(4)) < now && away && by_zone(&self.known, &self.env.zone, &self.env.name).first().is_some_and(|seat| seat.zone == self.env.zone) {
+                        self.looks += 1;
+                        break;
+                    }
+                    let trusted = self.asks.front().is_none_or(|(_, asked)| now < asked + self.env.patience);
+                    proved &= trusted;
                     self.numbers += 1;
-                    self.asks.push_back((self.numbers, playbill::now()));
-                    conn.sender.try_send(wings::Frame::Ask { number: self.numbers }).is_ok() && playbill::now() < proved + self.env.patience
+                    self.asks.push_back((self.numbers, now));
+                    trusted && conn.sender.try_send(wings::Frame::Ask { number: self.numbers }).is_ok()
                 }
             };
         }
-        slog::info!(self.logger, "upstream left"; "upstream" => &conn.greeting.name);
-        proved > began
+        slog::info!(self.logger, "upstream left"; "upstream" => &conn.greeting.name, "proved" => proved);
+        proved
     }
 
     /// False when what the conn tells does not fit what is held: it must begin anew.
-    fn take(&mut self, frame: wings::Frame, proved: &mut playbill::Micros) -> bool {
+    fn take(&mut self, frame: wings::Frame, proved: &mut bool) -> bool {
         let held = self.outlook.load_full();
         match frame {
             wings::Frame::Bulletin { afresh, from, to, deltas } => {
@@ -117,7 +129,7 @@
                 self.asks.retain(|(asked, _)| *asked > number);
                 // News went before the proof: what is held here is what stood there.
                 if let Some(asked) = asked.filter(|_| position <= held.programme.position) {
-                    *proved = playbill::now();
+                    *proved = true;
                     self.hold(Outlook { programme: held.programme.clone(), proved: held.proved.max(asked) });
                 }
                 true
--- a/crates/pit/src/buffer.rs
+++ b/crates/pit/src/buffer.rs
@@ -18,6 +18,7 @@
     count: usize,
     /// Mean time of a run, as seen.
     run: f64,
+    runs: u64,
 }
 
 /// Before any run was seen.
@@ -25,7 +26,7 @@
 
 impl<T> Default for Buffer<T> {
     fn default() -> Self {
-        Buffer { ranks: Default::default(), count: 0, run: FIRST_GUESS }
+        Buffer { ranks: Default::default(), count: 0, run: FIRST_GUESS, runs: 0 }
     }
 }
 
@@ -39,7 +40,14 @@
     }
 
     pub fn ran(&mut self, took: Micros) {
-        self.run += (took as f64 - self.run) / 32.0;
+        self.runs += 1;
+        // The first ones count as much as each other, later ones less and less.
+        self.run += (took as f64 - self.run) / self.runs.clamp(1, 48) as f64;
+    }
+
+    /// 0 until enough was seen to speak of a mean.
+    pub fn seen_run(&self) -> Micros {
+        if self.runs >= 8 { self.run as Micros } else { 0 }
     }
 
     pub fn mean_run(&self) -> Micros {
--- /dev/null
+++ b/crates/pit/src/demand.rs
@@ -0,0 +1,72 @@
+//! Which keys are asked for, and how often: decaying counts, told as ranges of about equal weight (design 11.4).
+//! Pure.
+
+use playbill::bill::Key;
+
+#[derive(Default)]
+pub struct Demand {
+    counts: std::collections::BTreeMap<Key, f32>,
+    turns: f32,
+}
+
+/// What remains of a count at each telling.
+const KEPT: f32 = 0.8;
+/// A key that weighs less is forgotten.
+const LEAST: f32 = 0.05;
+
+impl Demand {
+    pub fn asked(&mut self, key: Key) {
+        *self.counts.entry(key).or_default() += 1.0;
+    }
+
+    /// Ranges over these rows, at most about so many, with the requests in each since the last telling; older ones count
+    /// ever less.
+    pub fn tell(&mut self, rows: &[(Key, Key)], most: usize) -> Vec<(Key, Key, f32)> {
+        self.turns = self.turns * KEPT + 1.0;
+        let whole: f32 = self.counts.values().sum();
+        let share = (whole / most.max(1) as f32).max(f32::EPSILON);
+        let told = rows.iter().flat_map(|(from, to)| self.ranges(*from, *to, share)).collect();
+        self.counts.values_mut().for_each(|count| *count *= KEPT);
+        self.counts.retain(|_, count| *count > LEAST);
+        told
+    }
+
+    /// One row, cut wherever about a share has gathered, and around a key that weighs as much by itself.
+    fn ranges(&self, from: Key, to: Key, share: f32) -> Vec<(Key, Key, f32)> {
+        let (mut out, mut start, mut sum) = (Vec::new(), from as u32, 0.0);
+        let scaled = |weight: f32| weight / self.turns;
+        self.counts.range(from..=to).for_each(|(key, count)| {
+            let key = *key as u32;
+            if sum + count > share * 1.5 && key > start {
+                out.push((start as Key, (key - 1) as Key, scaled(sum)));
+                (start, sum) = (key, 0.0);
+            }
+            sum += count;
+            if sum >= share && key < to as u32 {
+                out.push((start as Key, key as Key, scaled(sum)));
+                (start, sum) = (key + 1, 0.0);
+            }
+        });
+        if start <= to as u32 {
+            out.push((start as Key, to, scaled(sum)));
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn busy_keys_are_cut_finely_and_ranges_cover_the_rows() {
+        let mut demand = super::Demand::default();
+        (0..1_000u32).for_each(|at| demand.asked(if at % 2 == 0 { 500 + (at % 100) as u16 } else { (at * 61 % 8_000) as u16 }));
+        let told = demand.tell(&[(0, 4_095), (6_000, 7_999)], 16);
+        let keys: u32 = told.iter().map(|(from, to, _)| (to - from) as u32 + 1).sum();
+        assert_eq!(keys, 4_096 + 2_000);
+        assert!(told.windows(2).all(|pair| pair[0].1 < pair[1].0), "{told:?}");
+        let fine = told.iter().filter(|(from, to, _)| *from >= 499 && *to <= 600).count();
+        assert!(fine >= 5 && told.len() <= 40, "{} ranges, {fine} among the busy keys", told.len());
+        let heaviest = told.iter().map(|(.., weight)| *weight).fold(0.0, f32::max);
+        assert!(heaviest <= 2.0 * 1_000.0 / 16.0, "{heaviest}");
+    }
+}
--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -19,8 +19,12 @@
     Local(Option<Local>),
     Leave,
     Load(tokio::sync::oneshot::Sender<(usize, usize)>),
+    Demand(usize, tokio::sync::oneshot::Sender<Option<Asked>>),
 }
 
+/// Slots, the mean run and what was asked for since the last telling.
+pub type Asked = (u32, Micros, Vec<(u16, u16, f32)>);
+
 #[derive(Clone)]
 pub struct Pit(tokio::sync::mpsc::Sender<Command>);
 
@@ -30,6 +34,7 @@
     door: std::sync::Arc<crate::Door>,
     local: Option<Local>,
     buffer: Buffer<(Box<wings::Cue>, Answer)>,
+    demand: crate::Demand,
     running: usize,
     leaving: bool,
 }
@@ -41,7 +46,8 @@
     pub fn start(env: PitEnv) -> Pit {
         let (commands, mut buffer) = tokio::sync::mpsc::channel(4_096);
         let door = std::sync::Arc::new(crate::Door::new(env.words.clone()));
-        let mut owner = Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), running: 0, leaving: false };
+        let mut owner =
+            Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), demand: Default::default(), running: 0, leaving: false };
         tokio::spawn(async move {
             while let Some(command) = buffer.recv().await {
                 owner.take(command);
@@ -70,6 +76,13 @@
         self.0.send(Command::Leave).await.unwrap_or_default();
     }
 
+    /// What the back end's keys are asked for, in at most about so many ranges; none without keys.
+    pub async fn asked(&self, most: usize) -> Option<Asked> {
+        let (answer, asked) = tokio::sync::oneshot::channel();
+        self.0.send(Command::Demand(most, answer)).await.ok()?;
+        asked.await.ok().flatten()
+    }
+
     /// Running and waiting.
     pub async fn load(&self) -> (usize, usize) {
         let (answer, load) = tokio::sync::oneshot::channel();
@@ -90,6 +103,11 @@
             }
             Command::Local(local) => self.set_local(local),
             Command::Leave => self.leaving = true,
+            Command::Demand(most, answer) => {
+                let local = self.local.as_ref().and_then(|local| local.holding.as_ref().map(|holding| (local.slots, holding.rows.clone())));
+                let asked = local.map(|(slots, rows)| (slots, self.buffer.seen_run(), self.demand.tell(&rows, most)));
+                drop(answer.send(asked));
+            }
             Command::Load(answer) => drop(answer.send((self.running, self.buffer.len()))),
         }
         self.start_next();
@@ -128,6 +146,7 @@
         if let Some(trouble) = refusal(self.local.as_ref(), now, &cue) {
             return self.answer(answer, Err(trouble));
         }
+        cue.key.into_iter().for_each(|key| self.demand.asked(key));
         let wait = self.wait(cue.rank);
         // What cannot be answered in time is told at once, with when to come back.
         if now + wait + self.buffer.mean_run() / 2 > until {
--- a/crates/pit/src/lib.rs
+++ b/crates/pit/src/lib.rs
@@ -3,11 +3,13 @@
 
 mod buffer;
 mod conns;
+mod demand;
 mod desk;
 mod door;
 mod local;
 
 pub use buffer::{Buffer, Waiting};
+pub use demand::Demand;
 pub use desk::{Outcome, Pit, PitEnv};
 pub use door::Door;
 pub use local::{Holding, Local};
--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -1,79 +1,199 @@
-//! Who is to hold which keys: as few moves as the shares allow (design 11.4). Pure.
+//! Who is to hold which keys: by what is asked of each key and how fast each back end is, with as few moves as
+//! that allows (design 11.4). Pure.
 
 use playbill::BackEndName;
 use playbill::bill::{Key, Rows};
 
-/// A back end and its share, in any unit.
+/// A back end and how much it can do, in any unit.
 pub type Part = (BackEndName, f64);
+/// What a range of keys is asked for, in any unit.
+pub type Ask = (Key, Key, f64);
+pub type Cast = Vec<(Key, Key, BackEndName)>;
 
+/// So much of the whole weight is spread over all keys alike: what nobody asked for yet has to be somewhere too.
+const SPREAD: f64 = 0.04;
 const KEYS: f64 = 65_536.0;
 
-/// Rows for all keys. Everyone keeps what fits the share, from the lowest key on; the rest goes to those
-/// furthest below theirs.
-pub fn cast(rows: &Rows, parts: &[Part]) -> Vec<(Key, Key, BackEndName)> {
-    let whole: f64 = parts.iter().map(|(_, share)| share).sum();
-    if whole <= 0.0 {
-        return Vec::new();
+#[derive(Clone, Debug)]
+struct Piece {
+    from: u32,
+    to: u32,
+    weight: f64,
+    holder: Option<usize>,
+}
+
+impl Piece {
+    /// The part that weighs about so much, from the low end, and the rest. Whole keys only.
+    fn cut(self, weight: f64) -> (Option<Piece>, Option<Piece>) {
+        let keys = (self.to - self.from + 1) as f64;
+        let first = (keys * (weight / self.weight).clamp(0.0, 1.0)).round() as u32;
+        let share = |count: u32| self.weight * count as f64 / keys;
+        let low = (first > 0).then(|| Piece { to: self.from + first - 1, weight: share(first), ..self.clone() });
+        let high = (first < keys as u32).then(|| Piece { from: self.from + first, weight: share(keys as u32 - first), ..self.clone() });
+        (low, high)
     }
-    let mut room: std::collections::BTreeMap<&str, u32> = quotas(parts, whole);
-    let (mut kept, mut free) = (Vec::new(), Vec::new());
-    rows.iter().for_each(|row| {
-        let size = (row.to - row.from) as u32 + 1;
-        let name = row.holder.as_deref().unwrap_or_default();
-        let left = room.get(name).copied().unwrap_or(0).min(size);
-        if left > 0 {
-            kept.push((row.from, row.from + (left - 1) as Key, name.to_string()));
-            room.entry(parts.iter().find(|(part, _)| part == name).map(|(part, _)| part.as_str()).unwrap_or_default()).and_modify(|room| *room -= left);
-        }
-        if left < size {
-            free.push((row.from as u32 + left, row.to as u32));
-        }
-    });
-    let given = free.into_iter().flat_map(|(mut from, to)| {
-        let mut out = Vec::new();
-        while from <= to {
-            let Some((name, left)) = room.iter_mut().filter(|(_, room)| **room > 0).max_by_key(|(_, room)| **room) else { break };
-            let size = (*left).min(to - from + 1);
-            *left -= size;
-            out.push((from as Key, (from + size - 1) as Key, name.to_string()));
-            from += size;
-        }
-        out
-    });
-    let mut all: Vec<_> = kept.into_iter().chain(given.collect::<Vec<_>>()).collect();
-    all.sort();
-    all
 }
 
-/// Whole keys in proportion to shares, all of them given.
-fn quotas(parts: &[Part], whole: f64) -> std::collections::BTreeMap<&str, u32> {
-    let mut sum = 0.0;
-    parts
-        .iter()
-        .map(|(name, share)| {
-            let before = (sum / whole * KEYS).round() as u32;
-            sum += share;
-            (name.as_str(), (sum / whole * KEYS).round() as u32 - before)
+/// Pieces of the rows, none across two ranges that are asked for differently.
+fn pieces(rows: &Rows, asks: &[Ask], parts: &[Part]) -> Vec<Piece> {
+    let whole: f64 = asks.iter().map(|(.., weight)| weight).sum();
+    let whole = if whole > 0.0 { whole } else { 1.0 };
+    let spread = |from: u32, to: u32| whole * SPREAD * (to - from + 1) as f64 / KEYS;
+    rows.iter()
+        .flat_map(|row| {
+            let holder = row.holder.as_ref().and_then(|name| parts.iter().position(|(part, _)| part == name));
+            let (from, to) = (row.from as u32, row.to as u32);
+            let within = asks.iter().filter(|(start, end, _)| (*start as u32) <= to && from <= (*end as u32));
+            let mut next = from;
+            let mut out: Vec<Piece> = Vec::new();
+            within.for_each(|(start, end, weight)| {
+                let (start, end, keys) = ((*start as u32).max(from), (*end as u32).min(to), (*end - *start) as f64 + 1.0);
+                if next < start {
+                    out.push(Piece { from: next, to: start - 1, weight: spread(next, start - 1), holder });
+                }
+                if next <= end {
+                    let start = start.max(next);
+                    out.push(Piece { from: start, to: end, weight: weight * (end - start + 1) as f64 / keys + spread(start, end), holder });
+                    next = end + 1;
+                }
+            });
+            if next <= to {
+                out.push(Piece { from: next, to, weight: spread(next, to), holder });
+            }
+            out
         })
         .collect()
 }
 
+/// How far above the mean use the busiest back end is, as the placement stands.
+pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> f64 {
+    let pieces = pieces(rows, asks, parts);
+    let loads = loads(&pieces, parts.len());
+    let mean = loads.iter().sum::<f64>() / parts.iter().map(|(_, can)| can).sum::<f64>();
+    loads.iter().zip(parts).map(|(load, (_, can))| load / can / mean - 1.0).fold(0.0, f64::max)
+}
+
+fn loads(pieces: &[Piece], count: usize) -> Vec<f64> {
+    pieces.iter().fold(vec![0.0; count], |mut loads, piece| {
+        piece.holder.into_iter().for_each(|holder| loads[holder] += piece.weight);
+        loads
+    })
+}
+
+/// Rows for all keys. Whoever is no more than `slack` above a fair share keeps what it has; what is above it, and what
+/// nobody holds, goes to those furthest below theirs.
+pub fn cast(rows: &Rows, asks: &[Ask], parts: &[Part], slack: f64) -> Cast {
+    let can: f64 = parts.iter().map(|(_, can)| can).sum();
+    if can <= 0.0 {
+        return Vec::new();
+    }
+    let mut pieces = pieces(rows, asks, parts);
+    let whole: f64 = pieces.iter().map(|piece| piece.weight).sum();
+    let fair: Vec<f64> = parts.iter().map(|(_, own)| whole * own / can).collect();
+    let mut held = loads(&pieces, parts.len());
+    let mut free: Vec<Piece> = Vec::new();
+    let mut kept: Vec<Piece> = Vec::new();
+    pieces.sort_by_key(|piece| piece.from);
+    pieces.into_iter().for_each(|piece| {
+        let Some(holder) = piece.holder else { return free.push(piece) };
+        let above = held[holder] - fair[holder];
+        // A move of next to nothing is not worth its gap.
+        if above <= fair[holder] * slack || above < piece.weight * 0.05 {
+            return kept.push(piece);
+        }
+        let (low, high) = piece.cut(above);
+        low.into_iter().for_each(|piece| {
+            held[holder] -= piece.weight;
+            free.push(piece);
+        });
+        kept.extend(high);
+    });
+    // The heaviest first, each to whoever has most room; what does not fit whole is cut.
+    free.sort_by(|one, other| one.weight.total_cmp(&other.weight));
+    let mut given: Vec<Piece> = Vec::new();
+    while let Some(piece) = free.pop_if(|_| true) {
+        let room = |at: usize| (fair[at] - held[at]) / fair[at].max(f64::EPSILON);
+        let Some(taker) = (0..parts.len()).max_by(|one, other| room(*one).total_cmp(&room(*other))) else { break };
+        let left = (fair[taker] - held[taker]).max(0.0);
+        let whole_fits = piece.weight <= left * 1.2 || left < piece.weight * 0.1;
+        let (low, high) = if whole_fits { (Some(piece), None) } else { piece.cut(left) };
+        // One key is never cut: if nothing fits, it goes whole.
+        let (given_now, rest) = if low.is_some() { (low, high) } else { (high, None) };
+        given_now.into_iter().for_each(|piece| {
+            held[taker] += piece.weight;
+            given.push(Piece { holder: Some(taker), ..piece });
+        });
+        free.extend(rest);
+    }
+    let mut all: Vec<Piece> = kept.into_iter().chain(given).collect();
+    all.sort_by_key(|piece| piece.from);
+    all.into_iter().filter_map(|piece| piece.holder.map(|holder| (piece.from as Key, piece.to as Key, parts[holder].0.clone()))).fold(
+        Cast::new(),
+        |mut cast, (from, to, name)| {
+            match cast.last_mut() {
+                Some(last) if last.2 == name && last.1 as u32 + 1 == from as u32 => last.1 = to,
+                _ => cast.push((from, to, name)),
+            }
+            cast
+        },
+    )
+}
+
 #[cfg(test)]
 mod tests {
     use playbill::bill::rows;
 
+    fn part(name: &str, can: f64) -> super::Part {
+        (name.to_string(), can)
+    }
+
+    fn of(rows: &rows::Rows, name: &str) -> u32 {
+        rows.iter().filter(|row| row.holder.as_deref() == Some(name)).map(|held| (held.to - held.from) as u32 + 1).sum()
+    }
+
     #[test]
     fn everyone_gets_a_share_and_only_what_must_moves() {
-        let part = |name: &str, share: f64| (name.to_string(), share);
-        let one = rows::recast(rows::empty(), &super::cast(&rows::empty(), &[part("a", 2.0), part("b", 1.0), part("c", 1.0)]), 5);
-        let count = |held: &rows::Row| (held.to - held.from) as u32 + 1;
-        let of = |rows: &rows::Rows, name: &str| rows.iter().filter(|row| row.holder.as_deref() == Some(name)).map(count).sum::<u32>();
+        let one = rows::recast(rows::empty(), &super::cast(&rows::empty(), &[], &[part("a", 2.0), part("b", 1.0), part("c", 1.0)], 0.0), 5);
         assert_eq!((of(&one, "a"), of(&one, "b"), of(&one, "c")), (32_768, 16_384, 16_384));
-        let two = rows::recast(one.clone(), &super::cast(&one, &[part("a", 2.0), part("c", 1.0)]), 9);
+        let two = rows::recast(one.clone(), &super::cast(&one, &[], &[part("a", 2.0), part("c", 1.0)], 0.0), 9);
         assert_eq!(of(&two, "a") + of(&two, "c"), 65_536);
-        let moved: u32 = two.iter().filter(|row| row.fence == 9).map(count).sum();
-        assert!(moved <= 16_386, "{moved} keys moved, b held 16384");
-        let three = super::cast(&two, &[part("a", 2.0), part("c", 1.0)]);
+        let moved: u32 = two.iter().filter(|row| row.fence == 9).map(|row| (row.to - row.from) as u32 + 1).sum();
+        assert!((16_384..=16_400).contains(&moved), "{moved} keys moved, b held 16384");
+        let three = super::cast(&two, &[], &[part("a", 2.0), part("c", 1.0)], 0.05);
         assert_eq!(rows::recast(two.clone(), &three, 11), two, "nothing moves without a reason");
     }
+
+    #[test]
+    fn a_busy_range_is_spread_and_the_slow_get_less() {
+        let parts = [part("a", 1.0), part("b", 1.0), part("c", 0.5)];
+        let even = rows::recast(rows::empty(), &super::cast(&rows::empty(), &[], &parts, 0.0), 5);
+        // Half of all that is asked for lies within 200 keys, in ranges of ten.
+        let busy = (0..20u16).map(|at| (100 + at * 10, 109 + at * 10, 5.0));
+        let asks: Vec<super::Ask> = [(0, 99, 0.2)].into_iter().chain(busy).chain([(300, 65_535, 100.0)]).collect();
+        assert!(super::excess(&even, &asks, &parts) > 0.3);
+        let next = rows::recast(even.clone(), &super::cast(&even, &asks, &parts, 0.1), 9);
+        assert!(super::excess(&next, &asks, &parts) < 0.12, "{}", super::excess(&next, &asks, &parts));
+        let again = super::cast(&next, &asks, &parts, 0.15);
+        assert_eq!(rows::recast(next.clone(), &again, 12), next, "what is balanced stays");
+    }
+
+    #[test]
+    fn a_cast_covers_all_keys_whatever_is_asked() {
+        props::drawn::<(u8, Vec<(u16, u8, u8)>)>(200, |(count, asks)| {
+            let parts: Vec<super::Part> = (0..count % 7 + 1).map(|at| part(&format!("b{at}"), 1.0 + at as f64)).collect();
+            let mut asks: Vec<super::Ask> = asks.iter().map(|(from, size, weight)| (*from, from.saturating_add(*size as u16), *weight as f64)).collect();
+            asks.sort_by_key(|(from, ..)| *from);
+            let all = asks.into_iter().fold(Vec::new(), |mut all: Vec<super::Ask>, ask| {
+                if all.last().is_none_or(|last| last.1 < ask.0) {
+                    all.push(ask);
+                }
+                all
+            });
+            let first = rows::recast(rows::empty(), &super::cast(&rows::empty(), &[], &parts, 0.0), 3);
+            let second = super::cast(&first, &all, &parts[..parts.len().div_ceil(2)], 0.1);
+            let covered: u32 = second.iter().map(|(from, to, _)| (to - from) as u32 + 1).sum();
+            assert_eq!(covered, 65_536, "{second:?}");
+            assert!(second.windows(2).all(|pair| pair[0].1 as u32 + 1 == pair[1].0 as u32));
+        });
+    }
 }
--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -33,8 +33,12 @@
 /// `None`: the beat renews nothing.
 pub type BeatAnswer = Option<(Vec<(Key, Key, Position, String)>, Micros)>;
 
+type Answer = tokio::sync::oneshot::Sender<BeatAnswer>;
+
 pub(crate) enum Command {
-    Beat(Box<Beat>, tokio::sync::oneshot::Sender<BeatAnswer>),
+    Beat(Box<Beat>, Answer),
+    /// A beat's answer was kept back long enough.
+    Due(String, u64),
     SignOff(String, tokio::sync::oneshot::Sender<()>),
     Moved,
     Tick,
@@ -51,8 +55,13 @@
     pub held_until: Micros,
     pub silent: bool,
     pub probing: bool,
+    /// The latest beat's answer, kept back while there is nothing to say.
+    pub(crate) kept: Option<Answer>,
 }
 
+/// An answer is kept back so long at most: whoever beats waits a second for it.
+const KEPT: std::time::Duration = std::time::Duration::from_millis(650);
+
 pub struct Owner {
     pub(crate) env: TroupeEnv,
     pub(crate) outlook: gallery::SharedOutlook,
@@ -118,7 +127,13 @@
 impl Owner {
     async fn take(&mut self, command: Command) {
         match command {
-            Command::Beat(beat, answer) => drop(answer.send(self.beat(*beat))),
+            Command::Beat(beat, answer) => self.beat(*beat, answer),
+            Command::Due(name, sequence) => {
+                let due = self.own.as_ref().is_some_and(|own| own.beat.name == name && own.beat.sequence == sequence);
+                if due {
+                    self.answer(true);
+                }
+            }
             Command::SignOff(name, answer) => {
                 self.ends.entry(name.clone()).or_insert(false);
                 if let Some(own) = self.own.as_mut().filter(|own| own.beat.name == name) {
@@ -133,6 +148,7 @@
                     let rows = programme.castings.get(&own.beat.service);
                     rows.into_iter().for_each(|rows| self.keys.observe(playbill::now(), &rows.1, &own.beat.name));
                 }
+                self.answer(false);
             }
             Command::Tick => self.mind_silence(),
             Command::Logged(told, outcome) => self.logged(told, outcome),
@@ -143,34 +159,53 @@
         self.pit.local(local).await;
     }
 
-    fn beat(&mut self, beat: Beat) -> BeatAnswer {
+    fn beat(&mut self, beat: Beat, answer: Answer) {
         let now = playbill::now();
-        if self.ends.contains_key(&beat.name) {
-            return None;
-        }
         let late = self.own.as_ref().is_some_and(|own| own.beat.name == beat.name && own.beat.sequence >= beat.sequence);
-        if late {
-            return None;
+        if late || self.ends.contains_key(&beat.name) {
+            return drop(answer.send(None));
         }
         if let Some(earlier) = self.own.take_if(|own| own.beat.name != beat.name) {
             // One back end to a machine: the earlier life is over, its process with it.
             self.ends.insert(earlier.beat.name, true);
         }
-        let programme = self.outlook.load().programme.clone();
-        let proved = self.outlook.load().proved;
         if !beat.freed.is_empty() {
-            let (service, name) = (beat.service.clone(), beat.name.clone());
-            self.facts.push(Report::Released { service, name, through: programme.position, rows: beat.freed.clone() });
+            let (service, name, through) = (beat.service.clone(), beat.name.clone(), self.outlook.load().programme.position);
+            self.facts.push(Report::Released { service, name, through, rows: beat.freed.clone() });
         }
-        let held = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
+        let held_until = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
+        let first = self.own.is_none();
+        let news = beat.draining && self.own.as_ref().is_none_or(|own| own.drained.is_none()) || !beat.freed.is_empty();
         let drained = self.own.as_ref().and_then(|own| own.drained).or(beat.draining.then_some(now));
-        let mut own = Own { heard: now, drained, held_until: held, silent: false, probing: false, beat };
-        let rows = programme.castings.get(&own.beat.service).map(|held| held.1.clone()).unwrap_or_default();
+        let (name, sequence, commands) = (beat.name.clone(), beat.sequence, self.commands.clone());
+        self.own = Some(Own { heard: now, drained, held_until, silent: false, probing: false, kept: Some(answer), beat });
+        self.answer(first || news);
+        if self.own.as_ref().is_some_and(|own| own.kept.is_some()) {
+            tokio::spawn(async move {
+                tokio::time::sleep(KEPT).await;
+                drop(commands.send(Command::Due(name, sequence)).await);
+            });
+        }
+    }
+
+    /// Answers the latest beat when its rows change by it, or when it is due: so that who is to let go, and who is
+    /// to get, hear it as soon as it stands in the log and not at their next beat (design 11.5).
+    fn answer(&mut self, due: bool) {
+        let Some(mut own) = self.own.take() else { return };
+        let (now, outlook) = (playbill::now(), self.outlook.load_full());
+        let programme = &outlook.programme;
         let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
-        let grant = self.keys.grant(now, proved, &rows, &own.beat.name, &own.beat.holds).filter(|_| keyed);
-        let answer = grant.map(|grant| self.granted(now, &mut own, grant));
+        let rows = programme.castings.get(&own.beat.service).map(|held| held.1.clone()).unwrap_or_default();
+        if own.kept.is_some() {
+            let grant = self.keys.grant(now, outlook.proved, &rows, &own.beat.name, &own.beat.holds).filter(|_| keyed);
+            let told = |grant: &Grant| grant.rows.iter().map(|(from, to, fence, _)| (*from, *to, *fence)).collect::<Vec<_>>();
+            let changes = grant.as_ref().is_some_and(|grant| told(grant) != own.beat.holds);
+            if due || changes {
+                let answer = grant.map(|grant| self.granted(now, &mut own, grant));
+                own.kept.take().into_iter().for_each(|kept| drop(kept.send(answer.clone())));
+            }
+        }
         self.own = Some(own);
-        answer
     }
 
     fn granted(&mut self, now: Micros, own: &mut Own, grant: Grant) -> (Vec<(Key, Key, Position, String)>, Micros) {
--- a/crates/troupe/src/node.rs
+++ b/crates/troupe/src/node.rs
@@ -34,7 +34,7 @@
             let greet = greet.clone();
             move || (greet)(purpose)
         };
-        let line = gallery::FollowingEnv { name: own.node.clone(), zone: own.zone.clone(), ask_every: env.ask_every, patience: env.ask_every * 2 };
+        let line = gallery::FollowingEnv { name: own.node.clone(), zone: own.zone.clone(), ask_every: env.ask_every, patience: env.ask_every };
         let following = gallery::following::start(line, known.clone(), greeting(wings::Purpose::Subscribe), logger.clone());
         let reporting = gallery::ReportingEnv { name: own.node.clone(), life: own.life, logger: logger.clone() };
         let reports = gallery::Reports::start(reporting, known.clone(), greeting(wings::Purpose::Subscribe));
@@ -42,10 +42,22 @@
         let troupe = crate::Troupe::start(own.clone(), following.clone(), pit.clone(), reports.clone(), logger.clone());
         let watching = crate::watch::WatchEnv { node: own.node.clone(), beat_every: env.watch_every, patience: env.watch_patience };
         let heard = crate::watch::start(watching, following.outlook.clone(), reports.clone(), greet.clone());
-        tokio::spawn(apron::listen(mates, greet.clone(), known.clone(), pit.clone(), heard));
+        let (tell_loads, loads) = tokio::sync::mpsc::channel(1_024);
+        tokio::spawn(apron::listen(mates, greet.clone(), known.clone(), pit.clone(), (heard, tell_loads)));
         tokio::spawn(gallery::acquaint::run(known.clone(), env.seeds.clone(), greeting(wings::Purpose::Acquaint), || 3));
         // The duty of placing keys goes with the back end beside this node.
-        tokio::spawn(crate::duty::run((own.node.clone(), env.service.clone()), following.clone(), reports, logger.clone()));
+        let mates = apron::Mates::start(greet);
+        let duty = crate::duty::Duty {
+            node: own.node.clone(),
+            service: env.service.clone(),
+            following: following.clone(),
+            reports,
+            pit: pit.clone(),
+            mates: mates.clone(),
+            loads,
+            logger: logger.clone(),
+        };
+        tokio::spawn(duty.run());
         let calls = apron::Calls::default();
         let apron = apron::Apron {
             node: own.node.clone(),
@@ -53,7 +65,7 @@
             service: env.service.clone(),
             outlook: following.outlook.clone(),
             pit: pit.clone(),
-            mates: apron::Mates::start(greet),
+            mates,
             picks: apron::Picks::start(env.pick, following.outlook.clone()),
             calls: calls.clone(),
             logger,
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -111,6 +111,18 @@
     pub body: Vec<u8>,
 }
 
+/// What a back end is asked for and how fast it is, told to the node that places its service's keys (design 11.4).
+#[derive(Clone, Debug, Default, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Load {
+    pub service: ServiceName,
+    pub back_end: BackEndName,
+    pub slots: u32,
+    /// Mean time of a run there; 0 before any was seen.
+    pub run: Micros,
+    /// Requests a second on ranges of the keys it holds.
+    pub asked: Vec<(u16, u16, f32)>,
+}
+
 /// Large parts are boxed: a frame is as long as its longest part that is not.
 #[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Frame {
@@ -168,6 +180,7 @@
         deltas: Vec<u8>,
     },
     Cue(Box<Cue>),
+    Load(Box<Load>),
     Taken {
         number: u64,
         /// How long a request would wait there now, and whom it speaks of.
