A new life of a back end ends the one before it at the same machine, whoever remembers it

One machine has one back end at one address: a new life beating there, or a conn refused there, says that the one named in the log is gone.

--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -15,6 +15,8 @@
     pub beat_every: Micros,
     /// How long a draining back end still takes what is on its way.
     pub drain: Micros,
+    /// Where the one back end of this machine is found, if settings say so.
+    pub back_end: Option<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -73,6 +75,7 @@
     /// Ends still to be told, and whether each is sure.
     pub(crate) ends: std::collections::BTreeMap<String, bool>,
     pub(crate) facts: Vec<Report>,
+    pub(crate) began: Micros,
     pub(crate) telling: bool,
     pub(crate) logger: slog::Logger,
 }
@@ -86,7 +89,8 @@
         let keys = Keys::new(env.keys);
         let outlook = following.outlook.clone();
         let (ends, facts) = (Default::default(), Vec::new());
-        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own: None, ends, facts, telling: false, logger };
+        let (began, telling) = (playbill::now(), false);
+        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own: None, ends, facts, began, telling, logger };
         tokio::spawn(async move {
             while let Some(command) = buffer.recv().await {
                 owner.take(command).await;
@@ -169,8 +173,12 @@
             // One back end to a machine: the earlier life is over, its process with it.
             self.ends.insert(earlier.beat.name, true);
         }
+        // The log may know of one from before this node started.
+        let programme = self.outlook.load().programme.clone();
+        let earlier = programme.players.iter().filter(|(name, player)| player.node == self.env.node && **name != beat.name);
+        self.ends.extend(earlier.map(|(name, _)| (name.clone(), true)));
         if !beat.freed.is_empty() {
-            let (service, name, through) = (beat.service.clone(), beat.name.clone(), self.outlook.load().programme.position);
+            let (service, name, through) = (beat.service.clone(), beat.name.clone(), programme.position);
             self.facts.push(Report::Released { service, name, through, rows: beat.freed.clone() });
         }
         let held_until = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
--- a/crates/troupe/src/facts.rs
+++ b/crates/troupe/src/facts.rs
@@ -79,7 +79,7 @@
     /// A back end that stopped beating: is its process gone? A conn refused on this machine says so.
     pub(crate) fn mind_silence(&mut self) {
         let now = playbill::now();
-        let Some(own) = self.own.as_mut() else { return };
+        let Some(own) = self.own.as_mut() else { return self.mind_earlier(now) };
         if now < own.heard + self.env.beat_every * MISSED / 2 && !own.silent || own.probing {
             return;
         }
@@ -92,7 +92,23 @@
             return self.refuses(&name, true);
         }
         own.probing = true;
-        let (address, name, commands) = (own.beat.address.clone(), own.beat.name.clone(), self.commands.clone());
+        let (address, name) = (own.beat.address.clone(), own.beat.name.clone());
+        self.probe(address, name);
+    }
+
+    /// The log names a back end beside this node that this life of the node has not heard: it may be gone.
+    fn mind_earlier(&mut self, now: playbill::Micros) {
+        let (programme, node) = (self.outlook.load().programme.clone(), &self.env.node);
+        let earlier = programme.players.iter().find(|(name, player)| player.node == *node && !self.ends.contains_key(*name));
+        let silent = now > self.began + self.env.beat_every * 2;
+        if let Some((address, (name, _))) = self.env.back_end.clone().zip(earlier).filter(|_| silent) {
+            self.began = now;
+            self.probe(address, name.clone());
+        }
+    }
+
+    fn probe(&self, address: String, name: String) {
+        let commands = self.commands.clone();
         tokio::spawn(async move {
             let mut refused = 0;
             for _ in 0..2 {
@@ -105,13 +121,11 @@
     }
 
     pub(crate) fn refuses(&mut self, name: &str, refuses: bool) {
-        if let Some(own) = self.own.as_mut().filter(|own| own.beat.name == name) {
-            own.probing = false;
-            if refuses {
-                slog::info!(self.logger, "the back end's process is gone"; "name" => name);
-                self.ends.insert(name.to_string(), true);
-                self.own = None;
-            }
+        self.own.iter_mut().filter(|own| own.beat.name == name).for_each(|own| own.probing = false);
+        if refuses {
+            slog::info!(self.logger, "the back end's process is gone"; "name" => name);
+            self.ends.insert(name.to_string(), true);
+            self.own.take_if(|own| own.beat.name == name);
         }
     }
 }
