Admission by what can still make its aim; the first placement in stripes

Cause: a request was taken whenever its wait fitted its deadline, and then starved by more important ones until the sender gave up; the first placement put the busy tenth of the keys on one back end. Change: the wait told apart by rank counts what still comes above; who cannot make its aim is refused at once with a time to come back, who missed it goes behind all others, nobody is held for half of its time. Eight stripes over all keys at first.

--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -39,8 +39,10 @@
     leaving: bool,
 }
 
-/// When a refused request may come again, at least and at most.
-const BACK: (Micros, Micros) = (50_000, 2_000_000);
+/// When a refused request may come again, at least.
+const BACK: Micros = 100_000;
+/// Between two looks at who was held too long, while nothing else happens.
+const EXPIRE: std::time::Duration = std::time::Duration::from_millis(20);
 
 impl Pit {
     pub fn start(env: PitEnv) -> Pit {
@@ -49,8 +51,15 @@
         let mut owner =
             Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), demand: Default::default(), running: 0, leaving: false };
         tokio::spawn(async move {
-            while let Some(command) = buffer.recv().await {
-                owner.take(command);
+            loop {
+                let waits = !owner.buffer.is_empty();
+                tokio::select! {
+                    command = buffer.recv() => match command {
+                        Some(command) => owner.take(command),
+                        None => return,
+                    },
+                    _ = tokio::time::sleep(EXPIRE), if waits => owner.expire(),
+                }
             }
         });
         Pit(commands)
@@ -110,6 +119,7 @@
             }
             Command::Load(answer) => drop(answer.send((self.running, self.buffer.len()))),
         }
+        self.expire();
         self.start_next();
     }
 
@@ -131,7 +141,7 @@
     }
 
     fn wait(&self, rank: u8) -> Micros {
-        self.buffer.wait(rank, self.running, self.slots())
+        self.buffer.wait(playbill::now(), rank, self.running, self.slots())
     }
 
     fn answer(&self, answer: Answer, outcome: Result<wings::Take, Trouble>) {
@@ -149,21 +159,22 @@
         cue.key.into_iter().for_each(|key| self.demand.asked(key));
         let wait = self.wait(cue.rank);
         // What cannot be answered in time is told at once, with when to come back.
-        if now + wait + self.buffer.mean_run() / 2 > until {
-            let back = wait.clamp(BACK.0, BACK.1);
-            return self.answer(answer, Err(Trouble::new(Cause::Overloaded, "it would wait too long").later(back)));
+        if wait > self.buffer.room(now, now + cue.aim) {
+            return self.answer(answer, Err(overloaded(until - now, wait)));
         }
-        let waiting = Waiting { rank: cue.rank, until, aim: now + cue.aim, key: cue.key, held: (cue, answer) };
-        self.buffer.push(waiting);
+        let waiting = Waiting { rank: cue.rank, at: now, until, aim: now + cue.aim, held: (cue, answer) };
+        self.buffer.push(now, waiting);
+    }
+
+    fn expire(&mut self) {
+        let now = playbill::now();
+        self.buffer.expire(now).into_iter().for_each(|late| self.answer(late.held.1, Err(overloaded(late.until.saturating_sub(now), 0))));
     }
 
     fn start_next(&mut self) {
         while self.running < self.slots() {
             let now = playbill::now();
-            let (next, late) = self.buffer.pop(now);
-            late.into_iter()
-                .for_each(|late| self.answer(late.held.1, Err(Trouble::new(Cause::Overloaded, "its wait was over before a slot was free").later(BACK.0))));
-            let Some(next) = next else { return };
+            let Some(next) = self.buffer.pop(now) else { return };
             let (cue, answer) = next.held;
             match refusal(self.local.as_ref(), now, &cue) {
                 Some(trouble) => self.answer(answer, Err(trouble)),
@@ -186,6 +197,13 @@
     }
 }
 
+/// Come back once the wait is shorter, but while there is time left for it; not all at the same moment.
+fn overloaded(left: Micros, wait: Micros) -> Trouble {
+    let back = wait.max(left / 8).clamp(BACK, (left / 3).max(BACK));
+    let spread = back * (80 + rand::random::<u64>() % 21) / 100;
+    Trouble::new(Cause::Overloaded, "it would wait too long").later(spread)
+}
+
 /// Why this back end is not to be given the request now; certain not to have run.
 fn refusal(local: Option<&Local>, now: Micros, cue: &wings::Cue) -> Option<Trouble> {
     let Some(local) = local.filter(|local| local.name == cue.back_end) else {
--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -139,6 +139,21 @@
     )
 }
 
+/// Before anything is known of what is asked: stripes over all keys, each cut by the shares, as busy keys lie together.
+pub fn stripes(parts: &[Part], count: u32) -> Cast {
+    let can: f64 = parts.iter().map(|(_, can)| can).sum();
+    let edge = |stripe: u32, share: f64| ((stripe as f64 + share) * KEYS / count as f64).round() as u32;
+    let cuts = (0..count).flat_map(|stripe| {
+        let upto = parts.iter().scan(0.0, move |sum, (name, own)| {
+            let from = *sum;
+            *sum += own / can;
+            Some((edge(stripe, from), edge(stripe, *sum), name.clone()))
+        });
+        upto.collect::<Vec<_>>()
+    });
+    cuts.filter(|(from, end, _)| from < end).map(|(from, end, name)| (from as Key, (end - 1) as Key, name)).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use playbill::bill::rows;
@@ -163,6 +178,13 @@
         assert_eq!(rows::recast(two.clone(), &three, 11), two, "nothing moves without a reason");
     }
 
+    #[test]
+    fn stripes_cover_all_keys_by_shares() {
+        let rows = rows::recast(rows::empty(), &super::stripes(&[part("a", 2.0), part("b", 1.0), part("c", 1.0)], 7), 5);
+        assert_eq!(rows.len(), 21);
+        assert_eq!((of(&rows, "a") as i64 - 32_768).abs() < 8, of(&rows, "a") + of(&rows, "b") + of(&rows, "c") == 65_536);
+    }
+
     #[test]
     fn a_busy_range_is_spread_and_the_slow_get_less() {
         let parts = [part("a", 1.0), part("b", 1.0), part("c", 0.5)];
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -18,6 +18,10 @@
 /// How far above the mean the busiest may be before keys move for it, and what is left alone then.
 const UNEVEN: f64 = 0.18;
 const LEFT_ALONE: f64 = 0.05;
+/// Requests between two tellings, over all back ends, that speak of the load.
+const ENOUGH: f64 = 30.0;
+/// Stripes of the first placement.
+const STRIPES: u32 = 8;
 /// Ranges in one telling.
 const RANGES: usize = 24;
 
@@ -139,15 +143,18 @@
     let mut asks: Vec<crate::Ask> = told.values().flat_map(|(_, load)| load.asked.iter().map(|(from, to, weight)| (*from, *to, *weight as f64))).collect();
     asks.sort_by_key(|(from, ..)| *from);
     let on_their_way = || rows.iter().any(|row| !row.owed.is_empty());
-    let known = || cast.iter().all(|one| told.get(&one.name).is_some_and(|(_, load)| load.run > 0));
-    let uneven = || may_even && known() && !on_their_way() && crate::excess(rows, &asks, &parts) > UNEVEN;
+    let asked: f64 = asks.iter().map(|(.., weight)| weight).sum();
+    // What few requests show may be chance.
+    let known = asked / cast.len() as f64;
+    let uneven = || may_even && asked > ENOUGH && !on_their_way() && crate::excess(rows, &asks, &parts) > UNEVEN + 0.5 / known.sqrt();
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
         () if unused => (Why::Unused, 0.0),
         () if uneven() => (Why::Uneven, LEFT_ALONE),
         () => return None,
     };
-    Some((*base, crate::cast(rows, &asks, &parts, slack), why))
+    let wanted = if *base == 0 { crate::stripes(&parts, STRIPES) } else { crate::cast(rows, &asks, &parts, slack) };
+    Some((*base, wanted, why))
 }
 
 /// What each back end can do: its slots over the mean time of its runs; who is not known yet counts as the others do.
--- a/crates/troupe/src/lib.rs
+++ b/crates/troupe/src/lib.rs
@@ -8,7 +8,7 @@
 mod node;
 mod watch;
 
-pub use casting::{Ask, Cast, Part, cast, excess};
+pub use casting::{Ask, Cast, Part, cast, excess, stripes};
 pub use desk::{Beat, BeatAnswer, Troupe, TroupeEnv};
 pub use keys::{Grant, Keys, KeysEnv};
 pub use node::{Node, NodeEnv};
