--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -65,12 +65,13 @@
         .collect()
 }
 
-/// How far above the mean use the busiest back end is, as the placement stands.
-pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> f64 {
+/// How far above the mean use the busiest back end is, as the placement stands, and its use: asks over what it can.
+pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> (f64, f64) {
     let pieces = pieces(rows, asks, parts);
     let loads = loads(&pieces, parts.len());
     let mean = loads.iter().sum::<f64>() / parts.iter().map(|(_, can)| can).sum::<f64>();
-    loads.iter().zip(parts).map(|(load, (_, can))| load / can / mean - 1.0).fold(0.0, f64::max)
+    let most = loads.iter().zip(parts).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
+    (most / mean.max(f64::EPSILON) - 1.0, most)
 }
 
 fn loads(pieces: &[Piece], count: usize) -> Vec<f64> {
@@ -192,9 +193,9 @@
         // Half of all that is asked for lies within 200 keys, in ranges of ten.
         let busy = (0..20u16).map(|at| (100 + at * 10, 109 + at * 10, 5.0));
         let asks: Vec<super::Ask> = [(0, 99, 0.2)].into_iter().chain(busy).chain([(300, 65_535, 100.0)]).collect();
-        assert!(super::excess(&even, &asks, &parts) > 0.3);
+        assert!(super::excess(&even, &asks, &parts).0 > 0.3);
         let next = rows::recast(even.clone(), &super::cast(&even, &asks, &parts, 0.1), 9);
-        assert!(super::excess(&next, &asks, &parts) < 0.12, "{}", super::excess(&next, &asks, &parts));
+        assert!(super::excess(&next, &asks, &parts).0 < 0.12, "{:?}", super::excess(&next, &asks, &parts));
         let again = super::cast(&next, &asks, &parts, 0.15);
         assert_eq!(rows::recast(next.clone(), &again, 12), next, "what is balanced stays");
     }
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -17,6 +17,7 @@
 const SETTLE: Micros = 1_000_000;
 /// How far above the mean the busiest may be before keys move for it, and what is left alone then.
 const UNEVEN: f64 = 0.18;
+const BUSY: f64 = 0.6;
 const LEFT_ALONE: f64 = 0.05;
 /// Requests between two tellings, over all back ends, that speak of the load.
 const ENOUGH: f64 = 30.0;
@@ -146,7 +147,12 @@
     let asked: f64 = asks.iter().map(|(.., weight)| weight).sum();
     // What few requests show may be chance.
     let known = asked / cast.len() as f64;
-    let uneven = || may_even && asked > ENOUGH && !on_their_way() && crate::excess(rows, &asks, &parts) > UNEVEN + 0.5 / known.sqrt();
+    let uneven = || {
+        let (excess, most) = crate::excess(rows, &asks, &parts);
+        // Where slots stand free anyway a move is not worth its gap.
+        excess > UNEVEN + 0.5 / known.sqrt() && (most / TELL as f64 > BUSY || excess > 1.0)
+    };
+    let uneven = || may_even && asked > ENOUGH && !on_their_way() && uneven();
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
         () if unused => (Why::Unused, 0.0),
