News and placements at the grown size: linear rows, squeezed bulletins, calmer repeats

Cause, seen on the grown site (67 nodes, 7 core machines of 0.065 core): applying one placement of 400 rows rebuilt all rows for each (13 to 23 ms of processor time, 0.2 to 0.4 s there), at all seats at once; a seat asked for a run sent everything beyond the gap each time (1.1 GB between zones, 130 MB at a seat, one over its memory); five seats outbid each other in revocations for ever; a frame of a large configuration had two seconds to pass a narrow link; lanes were sorted anew for each of 1,480. Pairs said again and again on one conn between nodes are said by number.

--- a/crates/apron/src/course.rs
+++ b/crates/apron/src/course.rs
@@ -43,16 +43,16 @@
             return Err(Trouble::new(Cause::NotFresh, "nothing is known yet of what is to be served").later(300_000));
         }
         let path = ask.target.split('?').next().unwrap_or_default();
-        let lane = outlook.programme.lane(&ask.host, path).map(|(_, lane)| lane.clone());
-        let lane = lane.ok_or_else(|| Trouble::new(Cause::NoLane, "no lane begins this path on this host"))?;
-        let service = share(&lane, &ask.try_id);
+        let item = outlook.programme.lane(&ask.host, path).cloned();
+        let item = item.ok_or_else(|| Trouble::new(Cause::NoLane, "no lane begins this path on this host"))?;
+        let lane = &item.2;
+        let service = share(lane, &ask.try_id);
         let aim = if lane.aim_us == 0 { AIM } else { lane.aim_us };
         let until = ask.at + ask.wait.unwrap_or(lane.wait_us).min(lane.wait_us);
         // Whoever is refused hears it within a quarter of the aim, and may come again in time.
         let patience = ask.at + aim / 4;
         self.picks.earn(&service).await;
         let mut cue = Box::new(wings::Cue {
-            number: 0,
             back_end: String::new(),
             caller: self.service.clone(),
             method: ask.method,
@@ -64,7 +64,6 @@
             aim: 0,
             rank: lane.rank,
             repeatable: lane.repeatable,
-            mark: 0,
         });
         let mut passed_over: Vec<String> = Vec::new();
         let mut dispatches = 0;
--- a/crates/apron/src/front.rs
+++ b/crates/apron/src/front.rs
@@ -86,13 +86,14 @@
             at,
         };
         match self.apron.perform(ask).await {
-            Ok(take) => self.whole(take),
+            Ok(take) => self.whole(&try_id, take),
             Err(trouble) => self.refused(&try_id, trouble),
         }
     }
 
-    fn whole(&self, take: wings::Take) -> Answer {
-        let builder = hyper::Response::builder().status(take.status);
+    fn whole(&self, try_id: &str, take: wings::Take) -> Answer {
+        // The near side knows the try: its name need not come back over the conn between nodes.
+        let builder = hyper::Response::builder().status(take.status).header(self.env.words.try_id, try_id);
         let builder = take.headers.iter().fold(builder, |builder, (name, value)| builder.header(name.as_str(), value.as_slice()));
         builder
             .body(http_body_util::Full::new(take.body.into()))
--- a/crates/apron/src/listen.rs
+++ b/crates/apron/src/listen.rs
@@ -27,14 +27,33 @@
 }
 
 async fn serve(mut conn: wings::Conn, pit: pit::Pit, (heard, loads): (Heard, Loads)) {
-    while let Some(frame) = conn.receiver.recv().await {
+    let (mut speaker, mut listener) = (wings::Speaker::default(), wings::Listener::default());
+    let (ended, mut ends) = tokio::sync::mpsc::channel::<(u32, pit::Outcome)>(1_024);
+    loop {
+        let frame = tokio::select! {
+            frame = conn.receiver.recv() => match frame {
+                Some(frame) => frame,
+                None => return,
+            },
+            Some((number, (outcome, wait))) = ends.recv() => {
+                let wait = wait.min(u32::MAX as u64) as u32;
+                let word = match outcome {
+                    Ok(take) => wings::Frame::Taken(number, wait, Box::new(take.say(&mut speaker))),
+                    Err(trouble) => wings::Frame::Untaken(number, wait, Box::new(trouble)),
+                };
+                if conn.sender.send(word).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
         match frame {
-            wings::Frame::Cue(cue) => {
-                let (pit, replies) = (pit.clone(), conn.sender.clone());
+            wings::Frame::Cue(number, said) => {
+                let Some(cue) = said.hear(&mut listener) else { return };
+                let (pit, ended) = (pit.clone(), ended.clone());
                 tokio::spawn(async move {
-                    let number = cue.number;
-                    let (take, wait) = pit.perform(cue).await;
-                    replies.send(wings::Frame::Taken { number, wait, take: Box::new(take) }).await.unwrap_or_default();
+                    let outcome = pit.perform(Box::new(cue)).await;
+                    ended.send((number, outcome)).await.unwrap_or_default();
                 });
             }
             wings::Frame::Beat => heard.send((conn.greeting.name.clone(), conn.greeting.incarnation)).await.unwrap_or_default(),
--- a/crates/apron/src/mates.rs
+++ b/crates/apron/src/mates.rs
@@ -70,12 +70,13 @@
             return;
         }
     };
-    let mut waiting: std::collections::HashMap<u64, Answer> = Default::default();
-    let mut numbers = 0u64;
+    let mut waiting: std::collections::HashMap<u32, Answer> = Default::default();
+    let mut numbers = 0u32;
+    let (mut speaker, mut listener) = (wings::Speaker::default(), wings::Listener::default());
     loop {
         tokio::select! {
             next = asked.recv() => {
-                let (mut cue, answer) = match next {
+                let (cue, answer) = match next {
                     Some(Asked::Cue(cue, answer)) => (cue, answer),
                     Some(Asked::Word(word)) => {
                         drop(conn.sender.try_send(word));
@@ -83,24 +84,32 @@
                     }
                     None => return,
                 };
-                numbers += 1;
-                cue.number = numbers;
-                match conn.sender.try_send(wings::Frame::Cue(cue)) {
+                numbers = numbers.wrapping_add(1);
+                match conn.sender.try_send(wings::Frame::Cue(numbers, Box::new(cue.say(&mut speaker)))) {
                     Ok(()) => drop(waiting.insert(numbers, answer)),
-                    Err(_) => drop(answer.send((Err(Trouble::new(Cause::Unreachable, "the conn takes nothing more")), 0))),
+                    // What was not said is not in the other end's table either: the conn has to end.
+                    Err(_) => {
+                        drop(answer.send((Err(Trouble::new(Cause::Unreachable, "the conn takes nothing more")), 0)));
+                        break;
+                    }
                 }
             },
             frame = conn.receiver.recv() => match frame {
-                Some(wings::Frame::Taken { number, wait, take }) => {
-                    if let Some(answer) = waiting.remove(&number) {
-                        drop(answer.send((*take, wait)));
-                    }
+                Some(wings::Frame::Taken(number, wait, take)) => {
+                    let Some(take) = take.hear(&mut listener) else { break };
+                    waiting.remove(&number).into_iter().for_each(|answer| drop(answer.send((Ok(take.clone()), wait as u64))));
+                }
+                Some(wings::Frame::Untaken(number, wait, trouble)) => {
+                    waiting.remove(&number).into_iter().for_each(|answer| drop(answer.send((Err((*trouble).clone()), wait as u64))));
                 }
                 Some(_) => {}
                 None => break,
             },
             _ = tokio::time::sleep(IDLE), if waiting.is_empty() => break,
         }
+        if speaker.is_full() && waiting.is_empty() {
+            break;
+        }
     }
     // What was asked and not answered may have run; what still waits in the queue was not said.
     waiting.into_values().for_each(|answer| drop(answer.send((Err(Trouble::new(Cause::MateLost, "the conn to that node broke")), 0))));
--- a/crates/gallery/src/bulletin.rs
+++ b/crates/gallery/src/bulletin.rs
@@ -19,6 +19,8 @@
     fresh: (playbill::Position, Vec<playbill::bill::Delta>),
     history: std::collections::VecDeque<News>,
     followers: Vec<Follower>,
+    /// All that stood at a position, as it was last told; what came since follows from the history.
+    whole: Option<(playbill::Position, Vec<u8>)>,
     asks: std::collections::BTreeMap<u64, (u64, wings::Sender)>,
 }
 
@@ -81,21 +83,28 @@
         let position = self.bill.position;
         // A seat that lags behind a follower tells it nothing until it has caught up.
         let (bill, history) = (&self.bill, &self.history);
-        let mut whole: Option<Vec<u8>> = None;
+        let whole = &mut self.whole;
         self.followers.retain_mut(|follower| {
             if follower.held >= position {
                 return !follower.sender.is_closed();
             }
-            let since = history.iter().position(|(from, ..)| *from == follower.held);
-            let frames: Vec<wings::Frame> = match since {
-                Some(at) => history
-                    .iter()
-                    .skip(at)
-                    .map(|(from, to, news)| wings::Frame::Bulletin { afresh: false, from: *from, to: *to, deltas: news.clone() })
-                    .collect(),
+            let since = |held: playbill::Position| history.iter().position(|(from, ..)| *from == held).or((held == position).then_some(history.len()));
+            let changes = |at: usize| {
+                let news = history.iter().skip(at);
+                news.map(|(from, to, news)| wings::Frame::Bulletin { afresh: false, from: *from, to: *to, deltas: news.clone() })
+            };
+            let frames: Vec<wings::Frame> = match since(follower.held) {
+                Some(at) => changes(at).collect(),
                 None => {
-                    let deltas = whole.get_or_insert_with(|| bytes(bill.whole())).clone();
-                    vec![wings::Frame::Bulletin { afresh: true, from: 0, to: position, deltas }]
+                    let kept = whole.as_ref().and_then(|(at, deltas)| since(*at).map(|first| (first, deltas.len())));
+                    let later = |first: usize| history.iter().skip(first).map(|(.., news)| news.len()).sum::<usize>();
+                    let first = kept.filter(|(first, length)| later(*first) < *length).map(|(first, _)| first);
+                    if first.is_none() {
+                        *whole = Some((position, bytes(bill.whole())));
+                    }
+                    let (to, deltas) = whole.clone().unwrap_or_default();
+                    let told = wings::Frame::Bulletin { afresh: true, from: 0, to, deltas };
+                    std::iter::once(told).chain(changes(first.unwrap_or(history.len()))).collect()
                 }
             };
             follower.held = position;
@@ -105,23 +114,25 @@
 }
 
 fn bytes(deltas: Vec<playbill::bill::Delta>) -> Vec<u8> {
-    rkyv::to_bytes::<rkyv::rancor::Error>(&deltas).map(|bytes| bytes.to_vec()).unwrap_or_default()
+    playbill::pack::pack(rkyv::to_bytes::<rkyv::rancor::Error>(&deltas).map(|bytes| bytes.to_vec()).unwrap_or_default())
 }
 
 /// Changes as a follower reads them; none that do not hold together.
 pub(crate) fn deltas(bytes: &[u8]) -> Option<Vec<playbill::bill::Delta>> {
+    let bytes = playbill::pack::unpack(bytes)?;
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
+    aligned.extend_from_slice(&bytes);
     rkyv::from_bytes::<Vec<playbill::bill::Delta>, rkyv::rancor::Error>(&aligned).ok()
 }
 
 /// Book and bill as one state of the log.
 pub(crate) fn packed(book: &playbill::Book, bill: &playbill::Bill) -> Vec<u8> {
     let (book, bill) = (book.to_bytes(), bill.to_bytes());
-    [&(book.len() as u64).to_be_bytes()[..], &book, &bill].concat()
+    playbill::pack::pack([&(book.len() as u64).to_be_bytes()[..], &book, &bill].concat())
 }
 
 pub(crate) fn unpacked(state: &[u8]) -> Option<(playbill::Book, playbill::Bill)> {
+    let state = playbill::pack::unpack(state)?;
     let (length, rest) = state.split_at_checked(8)?;
     let length = u64::from_be_bytes(length.try_into().ok()?) as usize;
     let (book, bill) = rest.split_at_checked(length)?;
--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -49,7 +49,8 @@
             waiting: Default::default(),
             reads: Default::default(),
             read_tokens: 0,
-            since_snapshot: 0,
+            // Not all seats write theirs at the same entry.
+            since_snapshot: core.env.snapshot_every * core.env.seat as u64 / core.env.seats.max(1) as u64,
             snapshot_at: 0,
             state,
             leapt: 0,
--- a/crates/gallery/src/following.rs
+++ b/crates/gallery/src/following.rs
@@ -76,7 +76,10 @@
                     }
                 }
             }
-            tokio::time::sleep(std::time::Duration::from_millis(20 + rand::random::<u64>() % 30)).await;
+            // Once round without any use: no seat proves anything now, and asking them all faster does not help.
+            let round = (turn / seats.len().max(1)).min(4) as u64;
+            let pause = 20 + 150 * round;
+            tokio::time::sleep(std::time::Duration::from_millis(pause + rand::random::<u64>() % (pause + 10))).await;
         }
     }
 
--- a/crates/pit/src/door.rs
+++ b/crates/pit/src/door.rs
@@ -88,7 +88,7 @@
         if head.status.as_u16() == 421 || head.headers.contains_key(self.words.not_run) {
             return Err(Trouble::new(Cause::Refused, format!("the back end turned it away with {}", head.status.as_u16())));
         }
-        let headers = head.headers.iter().filter(|(name, _)| !lobby::words::of_one_conn(name.as_str()));
+        let headers = head.headers.iter().filter(|(name, _)| !lobby::words::of_one_conn(name.as_str()) && name.as_str() != self.words.try_id);
         let headers = headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec())).collect();
         Ok(wings::Take { status: head.status.as_u16(), headers, body: body.to_vec() })
     }
--- a/crates/playbill/src/bill/delta.rs
+++ b/crates/playbill/src/bill/delta.rs
@@ -13,15 +13,17 @@
 }
 
 type Shared<T> = std::sync::Arc<T>;
-/// Prefix to lane, longest first, with the name and version of its item.
-type Lanes = Vec<(String, ItemName, ItemVersion, Shared<Lane>)>;
+/// A lane with the name and version of its item.
+pub type LaneItem = (ItemName, ItemVersion, Lane);
+/// By prefix. Keys and lanes are shared, so that a copy costs a pointer for each.
+type Lanes = std::collections::HashMap<Shared<str>, Shared<LaneItem>>;
 
 /// What a node holds of the bill. Parts that did not change are shared with the one before.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Programme {
     pub position: Position,
-    lanes: Shared<std::collections::HashMap<String, Shared<Lanes>>>,
-    hosts: Shared<std::collections::HashMap<ItemName, String>>,
+    lanes: Shared<std::collections::HashMap<Shared<str>, Shared<Lanes>>>,
+    named: Shared<std::collections::HashMap<Shared<str>, Shared<LaneItem>>>,
     pub services: Shared<std::collections::BTreeMap<ServiceName, Service>>,
     pub limits: Option<Limits>,
     pub players: Shared<cast::Players>,
@@ -43,9 +45,10 @@
 
 impl Programme {
     /// The longest prefix of this host that begins the path.
-    pub fn lane(&self, host: &str, path: &str) -> Option<(&ItemName, &Shared<Lane>)> {
+    pub fn lane(&self, host: &str, path: &str) -> Option<&Shared<LaneItem>> {
         let lanes = self.lanes.get(host)?;
-        lanes.iter().find(|(prefix, ..)| path.starts_with(prefix.as_str())).map(|(_, name, _, lane)| (name, lane))
+        // A prefix ends with a slash: the longest that is known, from the whole path down.
+        path.rmatch_indices('/').find_map(|(at, _)| lanes.get(&path[..=at]))
     }
 
     pub fn has_lanes(&self) -> bool {
@@ -53,7 +56,7 @@
     }
 
     pub fn lane_count(&self) -> usize {
-        self.hosts.len()
+        self.named.len()
     }
 
     /// A back end that takes new work: registered, beside a node that is there.
@@ -117,22 +120,25 @@
     }
 
     fn put_lane(&mut self, name: ItemName, version: ItemVersion, body: Option<Body>) {
-        let (hosts, lanes) = (Shared::make_mut(&mut self.hosts), Shared::make_mut(&mut self.lanes));
-        if let Some(old) = hosts.remove(&name) {
-            let emptied = lanes.get_mut(&old).is_some_and(|held| {
-                let held = Shared::make_mut(held);
-                held.retain(|(_, other, ..)| *other != name);
+        let (named, lanes) = (Shared::make_mut(&mut self.named), Shared::make_mut(&mut self.lanes));
+        if let Some(old) = named.remove(name.as_str()) {
+            let (host, prefix) = (old.2.host.as_str(), old.2.prefix.as_str());
+            let emptied = lanes.get_mut(host).is_some_and(|held| {
+                // Another item may have taken the place within the same call.
+                if held.get(prefix).is_some_and(|held| held.0 == name) {
+                    Shared::make_mut(held).remove(prefix);
+                }
                 held.is_empty()
             });
             if emptied {
-                lanes.remove(&old);
+                lanes.remove(host);
             }
         }
         if let Some(Body::Lane(lane)) = body {
-            hosts.insert(name.clone(), lane.host.clone());
-            let held = Shared::make_mut(lanes.entry(lane.host.clone()).or_default());
-            held.push((lane.prefix.clone(), name, version, Shared::new(lane)));
-            held.sort_by(|one, other| other.0.len().cmp(&one.0.len()).then_with(|| one.0.cmp(&other.0)));
+            let item = Shared::new((name, version, lane));
+            named.insert(item.0.as_str().into(), item.clone());
+            let held = lanes.entry(item.2.host.as_str().into()).or_default();
+            Shared::make_mut(held).insert(item.2.prefix.as_str().into(), item);
         }
     }
 }
--- a/crates/playbill/src/bill/mod.rs
+++ b/crates/playbill/src/bill/mod.rs
@@ -128,7 +128,8 @@
             Report::Recast { service, base, rows } => {
                 let held = self.castings.get(&service).map(|(at, _)| *at).unwrap_or(0);
                 let live = |name: &str| self.players.get(name).is_some_and(|player| player.service == service);
-                if held != base || !rows.iter().all(|(from, to, name)| from <= to && live(name)) {
+                let ordered = rows.windows(2).all(|pair| pair[0].1 < pair[1].0);
+                if held != base || !ordered || !rows.iter().all(|(from, to, name)| from <= to && live(name)) {
                     return Vec::new();
                 }
                 self.castings.entry(service.clone()).or_insert_with(|| (0, rows::empty())).0 = next;
--- a/crates/playbill/src/bill/rows.rs
+++ b/crates/playbill/src/bill/rows.rs
@@ -17,6 +17,12 @@
     pub token: String,
 }
 
+impl Row {
+    fn alike(&self, other: &Row) -> bool {
+        (&self.holder, self.fence, &self.owed, &self.token) == (&other.holder, other.fence, &other.owed, &other.token)
+    }
+}
+
 /// Ordered, without gaps, over all keys.
 pub type Rows = Vec<Row>;
 
@@ -28,26 +34,42 @@
     rows.get(rows.partition_point(|row| row.to < key))
 }
 
-/// The rows with cuts at the edges of `from..=to`; the parts inside it changed.
-fn within(rows: Rows, from: Key, to: Key, change: impl Fn(Row) -> Row) -> Rows {
-    rows.into_iter()
-        .flat_map(|row| {
-            if row.to < from || row.from > to {
-                return vec![row];
+/// The rows with cuts at the edges of the spans; the parts inside one are changed by it. One pass over both, as
+/// spans are ordered and none overlaps another; those that do are taken one after the other.
+fn within<T>(rows: Rows, spans: &[(Key, Key, T)], change: &dyn Fn(Row, &T) -> Row) -> Rows {
+    if spans.windows(2).any(|pair| pair[0].1 >= pair[1].0) {
+        return spans.chunks(1).fold(rows, |rows, span| within(rows, span, change));
+    }
+    let mut out = Rows::with_capacity(rows.len() + spans.len());
+    let mut next = 0;
+    rows.into_iter().for_each(|mut row| {
+        while spans.get(next).is_some_and(|(_, to, _)| *to < row.from) {
+            next += 1;
+        }
+        // A span may reach into the rows after this one: it is looked at again there.
+        let mut at = next;
+        while let Some((from, to, told)) = spans.get(at).filter(|(from, ..)| *from <= row.to) {
+            if *from > row.from {
+                out.push(Row { to: from - 1, ..row.clone() });
+                row.from = *from;
             }
-            let before = (row.from < from).then(|| Row { to: from - 1, ..row.clone() });
-            let after = (row.to > to).then(|| Row { from: to + 1, ..row.clone() });
-            let inside = Row { from: row.from.max(from), to: row.to.min(to), ..row };
-            before.into_iter().chain([change(inside)]).chain(after).collect()
-        })
-        .collect()
+            if *to >= row.to {
+                return out.push(change(row, told));
+            }
+            out.push(change(Row { to: *to, ..row.clone() }, told));
+            row.from = to + 1;
+            at += 1;
+        }
+        out.push(row);
+    });
+    out
 }
 
 /// Neighbours that differ in nothing but their keys become one.
 fn joined(rows: Rows) -> Rows {
     rows.into_iter().fold(Vec::new(), |mut done: Rows, row| {
         match done.last_mut() {
-            Some(last) if Row { from: last.from, to: last.to, ..row.clone() } == *last => last.to = row.to,
+            Some(last) if last.alike(&row) => last.to = row.to,
             _ => done.push(row),
         }
         done
@@ -63,29 +85,26 @@
         let lost = row.holder.into_iter().map(|old| (old, position));
         Row { holder: Some(holder.clone()), fence: position, owed: row.owed.into_iter().chain(lost).collect(), ..row }
     };
-    joined(cast.iter().fold(rows, |rows, (from, to, holder)| within(rows, *from, *to, |row| moved(row, holder))))
+    joined(within(rows, cast, &moved))
 }
 
 /// `name` has let these go, knowing the log up to `through`.
 pub fn released(rows: Rows, name: &str, through: Position, let_go: &[(Key, Key, String)]) -> Rows {
-    joined(let_go.iter().fold(rows, |rows, (from, to, token)| {
-        within(rows, *from, *to, |row| {
-            let owes = row.owed.iter().any(|(owing, lost)| owing == name && *lost <= through);
-            let owed = row.owed.into_iter().filter(|(owing, lost)| owing != name || *lost > through).collect();
-            let token = if owes && !token.is_empty() { token.clone() } else { row.token };
-            Row { owed, token, ..row }
-        })
+    let mut let_go = let_go.to_vec();
+    let_go.sort();
+    joined(within(rows, &let_go, &|row: Row, token: &String| {
+        let owes = row.owed.iter().any(|(owing, lost)| owing == name && *lost <= through);
+        let owed = row.owed.into_iter().filter(|(owing, lost)| owing != name || *lost > through).collect();
+        let token = if owes && !token.is_empty() { token.clone() } else { row.token };
+        Row { owed, token, ..row }
     }))
 }
 
 /// All that was lost at or before the fence under which the row is now held is over.
 pub fn settled(rows: Rows, done: &[(Key, Key, Position)]) -> Rows {
-    joined(done.iter().fold(rows, |rows, (from, to, fence)| {
-        within(rows, *from, *to, |row| match row.fence == *fence {
-            true => Row { owed: Vec::new(), ..row },
-            false => row,
-        })
-    }))
+    let mut done = done.to_vec();
+    done.sort();
+    joined(within(rows, &done, &|row: Row, fence: &Position| if row.fence == *fence { Row { owed: Vec::new(), ..row } } else { row }))
 }
 
 /// A back end whose process is gone holds nothing and hands nothing over.
@@ -110,9 +129,18 @@
 
 /// The rows with these put in their place.
 pub fn patched(rows: Rows, changes: Rows) -> Rows {
-    let covered = |row: &Row| changes.iter().any(|change| change.from <= row.to && row.from <= change.to);
-    let mut kept: Rows = rows.into_iter().filter(|row| !covered(row)).collect();
+    let mut next = 0;
+    let mut kept: Rows = rows
+        .into_iter()
+        .filter(|row| {
+            while changes.get(next).is_some_and(|change| change.to < row.from) {
+                next += 1;
+            }
+            changes.get(next).is_none_or(|change| change.from > row.to)
+        })
+        .collect();
     kept.extend(changes);
+    // Two ordered runs: the sort joins them in one pass.
     kept.sort_by_key(|row| row.from);
     kept
 }
--- a/crates/playbill/src/entry.rs
+++ b/crates/playbill/src/entry.rs
@@ -60,11 +60,12 @@
 }
 
 pub fn to_bytes(entry: &Entry) -> Vec<u8> {
-    rkyv::to_bytes::<rkyv::rancor::Error>(entry).map(|bytes| bytes.to_vec()).unwrap_or_default()
+    crate::pack::pack(rkyv::to_bytes::<rkyv::rancor::Error>(entry).map(|bytes| bytes.to_vec()).unwrap_or_default())
 }
 
 pub fn from_bytes(bytes: &[u8]) -> Option<Entry> {
+    let bytes = crate::pack::unpack(bytes)?;
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
+    aligned.extend_from_slice(&bytes);
     rkyv::from_bytes::<Entry, rkyv::rancor::Error>(&aligned).ok()
 }
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod env;
 pub mod log;
+pub mod pack;
 pub mod patch;
 pub mod slice;
 pub mod standing;
--- a/crates/repertory/src/machine.rs
+++ b/crates/repertory/src/machine.rs
@@ -25,6 +25,8 @@
     pub told_at: Micros,
     pub sent_at: Micros,
     pub applied: Instance,
+    /// From where a run was sent, and until when it is not sent again.
+    pub ran: (Instance, Micros),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -49,7 +51,6 @@
     pub(crate) handed_out: Instance,
     pub(crate) vote_from: Instance,
     pub(crate) vote_until: Instance,
-    /// Waiting until the log has caught up with the own index.
     pub(crate) held_back: std::collections::VecDeque<Value>,
     pub(crate) applied: Instance,
     pub(crate) shares: Vec<crate::Share>,
@@ -59,6 +60,8 @@
     pub(crate) refused: std::collections::BTreeSet<Instance>,
     pub(crate) revoking: std::collections::BTreeMap<Seat, Revocation>,
     pub(crate) hold: Vec<Micros>,
+    /// Revocations of each owner begun since the log last moved.
+    pub(crate) attempts: Vec<u32>,
     pub(crate) stuck: (Instance, Micros, Micros),
     pub(crate) reads: crate::read::Reads,
     pub(crate) snapshot: Option<(Instance, Vec<u8>)>,
@@ -76,7 +79,8 @@
 impl Repertory {
     /// `writes` is what the disk kept, oldest first; empty on a new disk.
     pub fn restore(seat: Seat, seats: u16, identity: u64, tuning: Tuning, now: Micros, writes: Vec<Write>) -> Self {
-        let mate = Mate { open: false, heard: now, patience: tuning.suspect_after, suspected: false, told: 0, told_at: now, sent_at: now, applied: 0 };
+        let mate =
+            Mate { open: false, heard: now, patience: tuning.suspect_after, suspected: false, told: 0, told_at: now, sent_at: now, applied: 0, ran: (0, 0) };
         let mut machine = Repertory {
             seat,
             seats: seats as u64,
@@ -98,6 +102,7 @@
             refused: Default::default(),
             revoking: Default::default(),
             hold: vec![0; seats as usize],
+            attempts: vec![0; seats as usize],
             stuck: (0, now, now),
             reads: Default::default(),
             snapshot: None,
--- a/crates/repertory/src/resync.rs
+++ b/crates/repertory/src/resync.rs
@@ -3,11 +3,15 @@
 
 use crate::words::*;
 
+/// What so many bytes take on a narrow link and a slow processor; less is sent again whenever it is asked for.
+const PAUSE: Micros = 100_000;
+const PAUSE_BYTES: usize = 32 * 1024;
 pub(crate) const RUN_LIMIT: usize = 512;
 
 impl crate::Repertory {
     pub(crate) fn opened(&mut self, mate: Seat) {
         self.mates[mate as usize].open = true;
+        self.mates[mate as usize].ran = (0, 0);
         self.shares[mate as usize].cursor = None;
         self.hear(mate);
         let know = self.shares[mate as usize].first_unknown(self.owned_from(mate, self.floor), self.seats);
@@ -55,18 +59,22 @@
 
     /// All outcomes from `start` on, as far as they are known without a gap.
     pub(crate) fn send_run(&mut self, to: Seat, start: Instance) {
-        if to == self.seat {
+        // It may still be on its way: a mate on a narrow link asks often, and must not be sent the same each time.
+        if to == self.seat || self.mates[to as usize].ran.0 == start + 1 && self.now < self.mates[to as usize].ran.1 {
             return;
         }
         if let Some((through, state)) = self.snapshot.clone().filter(|_| start < self.floor) {
             self.send(to, Message::Snapshot { through, state });
         }
+        let asked = start;
         let start = start.max(self.floor);
         let end = self.applied.max(start);
         let mut commands: Commands = self.shares.iter().flat_map(|share| share.commands_in((start, end))).collect();
         commands.sort_by_key(|(at, _)| *at);
         let cut = commands.get(RUN_LIMIT).map(|(at, _)| *at).unwrap_or(end);
         commands.truncate(RUN_LIMIT);
+        let mut bytes: usize = commands.iter().map(|(_, value)| value.len()).sum::<usize>()
+            + self.snapshot.as_ref().filter(|(through, _)| *through == start).map(|(_, state)| state.len()).unwrap_or(0);
         if start < cut {
             self.send(to, Message::Run { block: (start, cut), commands });
         }
@@ -76,8 +84,10 @@
             let known = self.shares[owner as usize].first_unknown(from, self.seats);
             if from < known && cut == end {
                 let commands = self.shares[owner as usize].commands_in((from, known));
+                bytes += commands.iter().map(|(_, value)| value.len()).sum::<usize>();
                 self.send(to, Message::Chosen { owner, block: (from, known), commands });
             }
         });
+        self.mates[to as usize].ran = (asked + 1, self.now + PAUSE * (bytes / PAUSE_BYTES) as Micros);
     }
 }
--- a/crates/repertory/src/revoke.rs
+++ b/crates/repertory/src/revoke.rs
@@ -4,7 +4,9 @@
 
 impl crate::Repertory {
     pub(crate) fn yield_to_revoker(&mut self, owner: Seat) {
-        let pause = self.tuning.stuck_revoke + rand::Rng::random_range(&mut self.jitter, 0..self.tuning.stuck_revoke);
+        // Seats that outbid each other on slow machines finish nothing: each waits ever longer, by chance.
+        let pause = self.tuning.stuck_revoke << self.attempts[owner as usize].min(3);
+        let pause = pause + rand::Rng::random_range(&mut self.jitter, 0..pause);
         self.hold[owner as usize] = self.now + pause;
     }
 
@@ -17,6 +19,7 @@
             return;
         }
         let block = (from, to);
+        self.attempts[owner as usize] += 1;
         self.counter = self.counter.max(self.shares[owner as usize].promised_over(block).counter) + 1;
         self.draft_writes.push(Write::Counter(self.counter));
         let round = Round { counter: self.counter, identity: self.identity };
--- a/crates/repertory/src/tick.rs
+++ b/crates/repertory/src/tick.rs
@@ -83,11 +83,14 @@
         let waits = self.wanted().is_some_and(|wanted| wanted >= self.applied);
         if at != self.applied || !waits {
             self.stuck = (self.applied, self.now, self.stuck.2);
+            self.attempts.iter_mut().for_each(|attempts| *attempts = 0);
             return;
         }
         let waited = self.now - since;
         let owner = self.owner(self.applied);
-        if waited >= self.tuning.stuck_fetch && waited % self.tuning.stuck_fetch < 2 * self.tuning.beat_every {
+        // Ever more slowly: what was asked for may be on its way.
+        let every = self.tuning.stuck_fetch << (waited / (4 * self.tuning.stuck_fetch)).min(3);
+        if waited >= every && waited % every < 2 * self.tuning.beat_every {
             let helpers: Vec<Seat> = self.others().into_iter().filter(|mate| self.mates[*mate as usize].open).collect();
             let turn = (waited / self.tuning.stuck_fetch) as usize;
             let applied = self.applied;
@@ -95,7 +98,7 @@
                 self.send(*helper, Message::Fetch { from: applied });
             }
         }
-        if owner == self.seat && waited >= self.tuning.stuck_fetch && waited % self.tuning.stuck_fetch < self.tuning.beat_every {
+        if owner == self.seat && waited >= every && waited % every < self.tuning.beat_every {
             let at = self.applied;
             self.tell_again(at);
         }
--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -39,11 +39,14 @@
     let whole: f64 = asks.iter().map(|(.., weight)| weight).sum();
     let whole = if whole > 0.0 { whole } else { 1.0 };
     let spread = |from: u32, to: u32| whole * SPREAD * (to - from + 1) as f64 / KEYS;
+    let places: std::collections::HashMap<&str, usize> = parts.iter().enumerate().map(|(at, (name, _))| (name.as_str(), at)).collect();
     rows.iter()
         .flat_map(|row| {
-            let holder = row.holder.as_ref().and_then(|name| parts.iter().position(|(part, _)| part == name));
+            let holder = row.holder.as_deref().and_then(|name| places.get(name).copied());
             let (from, to) = (row.from as u32, row.to as u32);
-            let within = asks.iter().filter(|(start, end, _)| (*start as u32) <= to && from <= (*end as u32));
+            // Both are ordered: the first ask that reaches the row, and on from there.
+            let first = asks.partition_point(|(_, end, _)| (*end as u32) < from);
+            let within = asks[first..].iter().take_while(|(start, ..)| (*start as u32) <= to);
             let mut next = from;
             let mut out: Vec<Piece> = Vec::new();
             within.for_each(|(start, end, weight)| {
--- a/crates/wings/src/conn.rs
+++ b/crates/wings/src/conn.rs
@@ -4,6 +4,7 @@
 
 /// Frames waiting for one mate; a full buffer means the mate is not keeping up.
 const BUFFER: usize = 1_024;
+const PIECE: usize = 16 * 1024;
 const WRITE_PATIENCE: std::time::Duration = std::time::Duration::from_secs(2);
 
 pub type Sender = tokio::sync::mpsc::Sender<crate::Frame>;
@@ -49,6 +50,16 @@
     Ok(writer.write_all(&out).await?)
 }
 
+/// A mate on a narrow link may take long for much; one that takes nothing for a while is gone.
+async fn all_written(writer: &mut Writer, out: &[u8]) -> bool {
+    for piece in out.chunks(PIECE) {
+        if !matches!(tokio::time::timeout(WRITE_PATIENCE, writer.write_all(piece)).await, Ok(Ok(()))) {
+            return false;
+        }
+    }
+    true
+}
+
 pub(crate) fn run(zone: &str, greeting: crate::Greeting, mut reader: Reader, mut writer: Writer) -> Conn {
     let (sender, mut outgoing) = tokio::sync::mpsc::channel::<crate::Frame>(BUFFER);
     let (incoming, receiver) = tokio::sync::mpsc::channel(BUFFER);
@@ -78,8 +89,7 @@
             let frames = more.len() + 1;
             let whole = std::iter::once(first).chain(more).try_for_each(|frame| encode(&frame, &mut out));
             counted.count(frames, out.len());
-            let written = tokio::time::timeout(WRITE_PATIENCE, writer.write_all(&out)).await;
-            if whole.is_err() || !matches!(written, Ok(Ok(()))) {
+            if whole.is_err() || !all_written(&mut writer, &out).await {
                 break;
             }
         }
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -81,36 +81,6 @@
     pub seal: String,
 }
 
-/// A request on its way to the node beside the back end that is to run it (design 13.2).
-#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Cue {
-    pub number: u64,
-    pub back_end: BackEndName,
-    /// The service of the machine where the request began.
-    pub caller: ServiceName,
-    pub method: String,
-    /// Path and query as they were sent.
-    pub target: String,
-    pub headers: Headers,
-    pub body: Vec<u8>,
-    pub key: Option<u16>,
-    /// What is left of the wait, and of the time in which an answer is worth most.
-    pub left: Micros,
-    pub aim: Micros,
-    pub rank: u8,
-    pub repeatable: bool,
-    /// The far side's latest mark seen on this conn.
-    pub mark: u64,
-}
-
-/// A back end's answer as it came, and what the far side knows of the wait for the next.
-#[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Take {
-    pub status: u16,
-    pub headers: Headers,
-    pub body: Vec<u8>,
-}
-
 /// What a back end is asked for and how fast it is, told to the node that places its service's keys (design 11.4).
 #[derive(Clone, Debug, Default, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Load {
@@ -179,14 +149,11 @@
         to: Position,
         deltas: Vec<u8>,
     },
-    Cue(Box<Cue>),
+    Cue(u32, Box<crate::SaidCue>),
     Load(Box<Load>),
-    Taken {
-        number: u64,
-        /// How long a request would wait there now, and whom it speaks of.
-        wait: Micros,
-        take: Box<Result<Take, playbill::Trouble>>,
-    },
+    /// How long a request would wait there now, and what came of this one.
+    Taken(u32, u32, Box<crate::SaidTake>),
+    Untaken(u32, u32, Box<playbill::Trouble>),
     /// The sender takes nothing new: it stops in good order.
     Leaving,
     /// Which seat a core machine is to take; `founded` says with whom the core begins (design 12.1).
--- a/crates/wings/src/lib.rs
+++ b/crates/wings/src/lib.rs
@@ -1,13 +1,17 @@
 //! Between our own processes: validated `rkyv` frames over FIFO TCP (design 4.2).
 
 mod conn;
+mod cue;
 mod frame;
 mod hail;
+mod short;
 pub mod traffic;
 
 pub use conn::{Conn, Sender};
+pub use cue::{Cue, SaidCue, SaidTake, Take};
 pub use frame::*;
 pub use hail::{accept, dial};
+pub use short::{Listener, Said, Speaker};
 
 /// Spoken version; a mate with another is refused with both numbers.
 pub const VERSION: u16 = 4;
