--- a/crates/rehearsal/src/sim/effects.rs
+++ b/crates/rehearsal/src/sim/effects.rs
@@ -70,8 +70,11 @@
     fn snapshot_when_due(&mut self, seat: Seat, through: repertory::Instance) {
         let node = &mut self.nodes[seat as usize];
         node.since_snapshot += 1;
-        if self.plan.snapshot_every > 0 && node.since_snapshot >= self.plan.snapshot_every {
-            node.since_snapshot = 0;
+        let due = self.plan.snapshot_every > 0 && node.since_snapshot >= self.plan.snapshot_every;
+        // As the daemon's driver does it: what lies below a change could be finished only by disks of that time.
+        let handed_over = self.plan.snapshot_past_change && node.seats.values().any(|(_, after)| (node.snapshot_at..through).contains(after));
+        if due || handed_over {
+            (node.since_snapshot, node.snapshot_at) = (0, through);
             let state = rkyv::to_bytes::<rkyv::rancor::Error>(&node.history).map(|bytes| bytes.to_vec()).unwrap_or_default();
             if let Some(machine) = node.machine.as_mut() {
                 machine.step(self.now, repertory::Input::Snapshot { through, state });
--- a/crates/rehearsal/src/sim/plan.rs
+++ b/crates/rehearsal/src/sim/plan.rs
@@ -12,6 +12,8 @@
     pub tuning: repertory::Tuning,
     /// Applied entries between two snapshots; 0 takes none.
     pub snapshot_every: usize,
+    /// A snapshot as soon as the log is past a change of holders (design 4.4); without it a second lost disk stops the log.
+    pub snapshot_past_change: bool,
     /// A broken disk that reports a sync before anything is kept. Only to show the checker bites.
     pub lying_disk: bool,
     /// Crash the seat when it reaches the numbered point (design 9.2).
@@ -20,7 +22,9 @@
 
 impl Plan {
     pub fn new(seats: u16, seed: u64) -> Self {
-        Plan { seats, seed, hop: (300, 1_500), sync: (500, 5_000), tuning: repertory::Tuning::default(), snapshot_every: 40, lying_disk: false, crash_at: None }
+        let tuning = repertory::Tuning::default();
+        let (snapshot_every, snapshot_past_change) = (40, true);
+        Plan { seats, seed, hop: (300, 1_500), sync: (500, 5_000), tuning, snapshot_every, snapshot_past_change, lying_disk: false, crash_at: None }
     }
 }
 
--- a/crates/rehearsal/src/sim/world.rs
+++ b/crates/rehearsal/src/sim/world.rs
@@ -15,7 +15,6 @@
 pub struct Node {
     pub machine: Option<repertory::Repertory>,
     pub history: Vec<(repertory::Instance, repertory::Value)>,
-    pub reads: Vec<(u64, usize)>,
     pub(super) disk: Vec<repertory::Write>,
     pub(super) unsynced: Option<(u64, Vec<repertory::Write>, bool)>,
     pub(super) life: u64,
@@ -23,6 +22,7 @@
     pub(super) late: Vec<Event>,
     pub(super) disk_slow: Micros,
     pub(super) since_snapshot: usize,
+    pub(super) snapshot_at: repertory::Instance,
     pub(super) points: u64,
     pub(super) identity: u64,
     /// An empty disk that waits to be let in.
@@ -72,7 +72,6 @@
             .map(|seat| Node {
                 machine: None,
                 history: Vec::new(),
-                reads: Vec::new(),
                 disk: Vec::new(),
                 unsynced: None,
                 life: 0,
@@ -80,6 +79,7 @@
                 late: Vec::new(),
                 disk_slow: 0,
                 since_snapshot: 0,
+                snapshot_at: 0,
                 points: 0,
                 identity: seat as u64 + 1,
                 outside: false,
@@ -112,8 +112,8 @@
         }
         node.life += 1;
         node.history.clear();
-        node.reads.clear();
-        node.since_snapshot = 0;
+        node.seats.clear();
+        (node.since_snapshot, node.snapshot_at) = (0, 0);
         let (life, identity) = (node.life, node.identity);
         let machine = repertory::Repertory::restore(seat, self.plan.seats, identity, self.plan.tuning, self.now, node.disk.clone());
         node.machine = Some(machine);
