The bill is tried call by call, and a placement that moves nothing changes nothing

Cause: the bill had no tests. Writing them found that a placement which moves no key still moved the position that placements count on, and told no follower: each follower then placed on top of a position that stood no more, and was refused for ever. It takes a back end whose share is under one key, or two placements alike.

Conclusion: only the empty placement was at fault.

--- a/crates/playbill/src/bill/mod.rs
+++ b/crates/playbill/src/bill/mod.rs
@@ -131,8 +131,15 @@
                 if held != base || !rows.iter().all(|(from, to, name)| from <= to && live(name)) {
                     return Vec::new();
                 }
-                self.castings.entry(service.clone()).or_insert_with(|| (0, rows::empty())).0 = next;
-                self.turn(&service, |held| rows::recast(held, &rows, next))
+                let held = self.castings.get(&service).map(|(_, rows)| rows.clone()).unwrap_or_else(rows::empty);
+                let moved = rows::recast(held.clone(), &rows, next);
+                let changes = rows::changed(&held, &moved);
+                // One that moves nothing is none: followers, who hear only of changes, still stand on the one before.
+                if changes.is_empty() {
+                    return Vec::new();
+                }
+                self.castings.insert(service.clone(), (next, moved));
+                vec![Delta::Rows(service, next, changes)]
             }
             Report::Released { service, name, through, rows } => self.turn(&service, |held| rows::released(held, &name, through, &rows)),
             Report::Settled { service, rows } => self.turn(&service, |held| rows::settled(held, &rows)),
--- /dev/null
+++ b/crates/playbill/tests/bill/players.rs
@@ -0,0 +1,95 @@
+//! Back ends and nodes: what is over stays over, whoever speaks late (design 11.2).
+
+use crate::making::*;
+use playbill::bill::{Act, Report, rows};
+use playbill::{Bill, Outcome, Phase};
+
+#[test]
+fn late_words_do_not_bring_an_ended_back_end_back() {
+    [true, false].into_iter().for_each(|surely| {
+        let mut bill = site();
+        tell(&mut bill, vec![joined("a"), joined("b")]);
+        tell(&mut bill, vec![ended("a", surely)]);
+        let late = [joined("a"), Report::Silent { name: "a".into(), silent: false }, Report::Draining { name: "a".into() }, joined("a")];
+        late.into_iter().for_each(|word| assert_eq!(tell(&mut bill, vec![word]), Vec::new()));
+        assert!(!bill.players.contains_key("a") && bill.players.contains_key("b"));
+    });
+    let mut bill = site();
+    tell(&mut bill, vec![ended("early", false)]);
+    assert_eq!(tell(&mut bill, vec![joined("early")]), Vec::new(), "the end came before the word that it is there");
+    // Kept in a snapshot too, and over many other changes.
+    (0..2_000).for_each(|turn| drop(tell(&mut bill, vec![Report::Silent { name: "x".into(), silent: turn % 2 == 0 }, joined(&format!("x-{turn}"))])));
+    let mut woken = Bill::from_bytes(&bill.to_bytes()).expect("a snapshot");
+    assert_eq!(woken, bill);
+    assert_eq!(tell(&mut woken, vec![joined("early")]), Vec::new());
+}
+
+#[test]
+fn a_life_only_moves_on() {
+    let mut bill = site();
+    let phase = |bill: &Bill| bill.players["a"].phase;
+    let silent = |silent: bool| Report::Silent { name: "a".into(), silent };
+    tell(&mut bill, vec![joined("a"), silent(true)]);
+    assert_eq!(phase(&bill), Phase::PresumedGone);
+    assert_eq!(tell(&mut bill, vec![joined("a")]), Vec::new(), "an earlier word does not make it heard again");
+    tell(&mut bill, vec![silent(false)]);
+    assert_eq!(phase(&bill), Phase::Registered);
+    tell(&mut bill, vec![Report::Draining { name: "a".into() }]);
+    [joined("a"), silent(false), silent(true), joined("a")].into_iter().for_each(|word| drop(tell(&mut bill, vec![word])));
+    assert_eq!(phase(&bill), Phase::Draining, "who drains takes no new work any more");
+}
+
+#[test]
+fn what_an_origin_told_is_taken_once_and_in_order() {
+    let mut bill = site();
+    let mut report = |life: u64, sequence: u64, name: &str| {
+        let act = Act::Reports(vec![joined(name)]);
+        matches!(bill.apply("n0", life, sequence, act).0, Outcome::Accepted { .. })
+    };
+    assert!(report(2, 5, "a"));
+    assert!(!report(2, 5, "b"), "a repeat");
+    assert!(!report(2, 4, "c") && !report(1, 9, "d"), "earlier words, of this life and of one before");
+    assert!(report(3, 1, "e"), "a new life counts anew");
+}
+
+#[test]
+fn a_node_is_gone_when_two_watchers_miss_it() {
+    let mut bill = site();
+    let node = |name: &str, life: u64| Report::Node { node: name.into(), zone: "z0".into(), address: format!("{name}:1"), life };
+    let missed = |by: &str, life: u64, missed: bool| Report::Watch { watcher: by.into(), node: "n0".into(), life, missed };
+    tell(&mut bill, (0..4).map(|number| node(&format!("n{number}"), 1)).collect());
+    let there = |bill: &Bill| bill.places["n0"].present;
+    tell(&mut bill, vec![missed("n1", 1, true), missed("n1", 1, true)]);
+    assert!(there(&bill), "one watcher is one watcher, however often it says so");
+    tell(&mut bill, vec![missed("n2", 1, true)]);
+    assert!(!there(&bill));
+    tell(&mut bill, vec![node("n0", 2), missed("n3", 1, true), missed("n1", 1, true)]);
+    assert!(there(&bill), "who was missed is an earlier life");
+    assert_eq!(tell(&mut bill, vec![node("n0", 1)]), Vec::new());
+}
+
+#[test]
+fn keys_go_only_to_who_is_there_and_only_on_top_of_what_was_seen() {
+    let mut bill = site();
+    tell(&mut bill, vec![joined("a"), joined("b")]);
+    let all = |name: &'static str| [(0, u16::MAX, name)];
+    tell(&mut bill, vec![recast(0, &all("a"))]);
+    let base = bill.castings["seat"].0;
+    assert_eq!(tell(&mut bill, vec![recast(0, &all("b"))]), Vec::new(), "on top of what stands no more");
+    assert_eq!(tell(&mut bill, vec![recast(base, &all("nobody"))]), Vec::new());
+    assert_eq!(tell(&mut bill, vec![recast(base, &[(0, 9, "b"), (10, 20, "nobody")])]), Vec::new(), "whole or not at all");
+    assert_eq!(tell(&mut bill, vec![recast(base, &[(9, 8, "b")])]), Vec::new(), "a row ends where it begins, or later");
+    tell(&mut bill, vec![recast(base, &all("b"))]);
+    let row = |bill: &Bill| rows::holder_of(&bill.castings["seat"].1, 77).cloned().expect("a row");
+    let fence = row(&bill).fence;
+    assert_eq!(row(&bill).owed, [("a".to_string(), fence)]);
+    tell(&mut bill, vec![ended("a", false)]);
+    assert_eq!(row(&bill).owed.len(), 1, "its process may live");
+    tell(&mut bill, vec![ended("a", true)]);
+    assert_eq!((row(&bill).owed.len(), row(&bill).holder), (0, Some("b".to_string())), "its process is gone");
+    tell(&mut bill, vec![ended("b", false)]);
+    assert_eq!(row(&bill).holder, Some("b".to_string()), "whoever comes next has to wait for it");
+    let base = bill.castings["seat"].0;
+    tell(&mut bill, vec![joined("c"), recast(base, &all("c"))]);
+    assert_eq!(row(&bill).owed.len(), 1);
+}
--- /dev/null
+++ b/crates/playbill/tests/bill/programme.rs
@@ -0,0 +1,99 @@
+//! What a follower holds: told by changes or told the whole, it is the same (design 11.3).
+
+use crate::making::*;
+use playbill::Bill;
+use playbill::bill::{Act, Delta, Kind, Programme, Report};
+
+type Drawn = (u8, u8, u8, u8);
+
+fn calls(kind: u8, name: u8, version: u64, other: u8) -> playbill::bill::Call {
+    let (name, target) = (format!("lane-{}", name % 4), format!("service-{}", other % 3));
+    match kind % 6 {
+        0 => put(&target, version, service(other > 100)),
+        1 => drop_of(Kind::Service, &target, version),
+        2 => drop_of(Kind::Lane, &name, version),
+        3 if other > 128 => drop_of(Kind::Limits, "", version),
+        3 => put("", version, limits(1_000 + version)),
+        _ => put(&name, version, lane(&format!("host-{}", other % 2), &format!("/{}", "long/".repeat(version as usize % 3)), &target)),
+    }
+}
+
+fn report(bill: &Bill, kind: u8, who: u8, one: u8, other: u8) -> Report {
+    let (name, node, life) = (format!("player-{}", who % 5), format!("node-{}", who % 3), 1 + (one / 128) as u64);
+    let (from, to) = (one.min(other) as u16 * 256, one.max(other) as u16 * 256 + 255);
+    let (base, at) = bill.castings.get("service-0").map(|held| (held.0, held.1[0].fence)).unwrap_or_default();
+    let service = || "service-0".to_string();
+    match kind % 12 {
+        0 => Report::Node { node, zone: "z0".into(), address: format!("address-{}", other % 2), life },
+        1 => Report::NodeLeft { node, life },
+        2 => Report::Watch { watcher: format!("node-{}", other % 3), node, life, missed: other < 200 },
+        3 | 4 => Report::Joined { name, player: playbill::bill::Player { slots: 1 + (other % 2) as u32, ..player("service-0", &node) } },
+        5 => Report::Draining { name },
+        6 => Report::Silent { name, silent: other < 128 },
+        7 if other > 200 => Report::Ended { name, surely: one < 128 },
+        8 => Report::Released { service: service(), name, through: bill.position, rows: vec![(from, to, format!("token-{other}"))] },
+        9 => Report::Settled { service: service(), rows: vec![(0, to, at)] },
+        _ => Report::Recast { service: service(), base: base - (other == 7) as u64 * base, rows: vec![(from, to, name)] },
+    }
+}
+
+fn whole(bill: &Bill) -> Programme {
+    Programme::default().told(true, bill.position, bill.whole())
+}
+
+#[test]
+fn a_follower_told_by_changes_holds_what_one_told_the_whole_holds() {
+    props::drawn::<[Drawn; 60]>(300, |steps| {
+        let mut bill = Bill::default();
+        // From the start, from somewhere on, and in pieces of several entries.
+        let (mut first, mut later, mut seldom) = (Programme::default(), Programme::default(), (Programme::default(), Vec::<Delta>::new()));
+        steps.iter().zip(1u64..).for_each(|((kind, who, one, other), turn)| {
+            let act = match kind % 3 {
+                0 => Act::Items(calls(kind / 3, *who, turn, *other)),
+                _ => Act::Reports(vec![report(&bill, kind / 3, *who, *one, *other), report(&bill, *other, *one, *who, *kind)]),
+            };
+            let before = bill.position;
+            let (_, deltas) = bill.apply(&format!("origin-{}", who % 2), 1, turn, act);
+            assert_eq!(bill.position > before, !deltas.is_empty(), "who follows hears of every position");
+            first = first.told(false, bill.position, deltas.clone());
+            seldom.1.extend(deltas.clone());
+            later = if turn % 17 == 5 { later.told(true, bill.position, bill.whole()) } else { later.told(false, bill.position, deltas) };
+            if turn.is_multiple_of(7) {
+                seldom.0 = seldom.0.told(false, bill.position, std::mem::take(&mut seldom.1));
+                assert_eq!(seldom.0, whole(&bill));
+            }
+            assert_eq!(first, whole(&bill), "after {kind} {who} {one} {other}");
+            assert!(turn < 5 || later == first);
+            let woken = Bill::from_bytes(&bill.to_bytes()).expect("a snapshot");
+            assert_eq!(woken, bill);
+        });
+    });
+}
+
+#[test]
+fn the_longest_prefix_goes_first_and_a_dropped_lane_leaves_the_next() {
+    let mut bill = site();
+    amend(&mut bill, both(put("wide", 1, lane("shop", "/", "seat")), put("narrow", 1, lane("shop", "/book/now/", "seat"))));
+    let finds = |bill: &Bill, path: &str| whole(bill).lane("shop", path).map(|(name, _)| name.clone());
+    assert_eq!(finds(&bill, "/book/now/1").as_deref(), Some("narrow"));
+    assert_eq!(finds(&bill, "/book/never").as_deref(), Some("book"));
+    assert_eq!(finds(&bill, "/else").as_deref(), Some("wide"));
+    amend(&mut bill, drop_of(Kind::Lane, "narrow", 2));
+    assert_eq!(finds(&bill, "/book/now/1").as_deref(), Some("book"));
+    assert_eq!(whole(&bill).lane("fair", "/book/").map(|(name, _)| name.clone()), None);
+}
+
+#[test]
+fn only_back_ends_that_take_work_beside_nodes_that_are_there_are_offered() {
+    let mut bill = site();
+    let node = |name: &str| Report::Node { node: name.into(), zone: "z0".into(), address: format!("{name}:1"), life: 1 };
+    let offered = |bill: &Bill| whole(bill).cast("seat").iter().map(|one| one.name.clone()).collect::<Vec<_>>();
+    tell(&mut bill, vec![joined("a"), joined("b"), joined("c"), node("node-a"), node("node-b")]);
+    assert_eq!(offered(&bill), ["a", "b"], "nobody knows yet where the third one is");
+    tell(&mut bill, vec![node("node-c"), Report::Draining { name: "a".into() }, Report::Silent { name: "b".into(), silent: true }]);
+    assert_eq!(offered(&bill), ["c"]);
+    assert!(whole(&bill).find("a").is_some(), "what is on its way to one that drains still gets there");
+    let missed = |watcher: &str| Report::Watch { watcher: watcher.into(), node: "node-c".into(), life: 1, missed: true };
+    tell(&mut bill, vec![missed("node-a"), missed("node-b"), Report::Silent { name: "b".into(), silent: false }]);
+    assert_eq!(offered(&bill), ["b"]);
+}
--- /dev/null
+++ b/crates/playbill/tests/bill/rows.rs
@@ -0,0 +1,103 @@
+//! Rows of keys against what each key is to go through, one by one (design 11.4).
+
+use playbill::bill::rows::{self, Row, Rows};
+
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+type Owed = Vec<(String, u64)>;
+/// What one key is to know: holder, fence, who may still hold it, what was handed over.
+type Known = (Option<String>, u64, Owed, String);
+
+fn edges(one: u8, other: u8) -> (u16, u16) {
+    // Few edges, so that they meet; the first and the last key among them.
+    let edge = |at: u8| (at % 9) as u32 * 8_192;
+    let (from, to) = (edge(one).min(edge(other)), edge(one).max(edge(other)));
+    (from.min(65_535) as u16, to.saturating_sub((to > from) as u32).min(65_535) as u16)
+}
+
+fn keys() -> Vec<u16> {
+    (0..=8u32).flat_map(|edge| [edge * 8_192, edge * 8_192 + 1, (edge * 8_192).saturating_sub(1)]).filter(|key| *key <= 65_535).map(|key| key as u16).collect()
+}
+
+fn known(row: &Row) -> Known {
+    (row.holder.clone(), row.fence, row.owed.clone(), row.token.clone())
+}
+
+fn whole(rows: &Rows) {
+    assert_eq!((rows.first().map(|row| row.from), rows.last().map(|row| row.to)), (Some(0), Some(65_535)));
+    assert!(rows.iter().all(|row| row.from <= row.to));
+    assert!(rows.windows(2).all(|pair| pair[0].to as u32 + 1 == pair[1].from as u32), "without gaps, and none twice: {rows:?}");
+    assert!(rows.windows(2).all(|pair| known(&pair[0]) != known(&pair[1])), "neighbours alike are one: {rows:?}");
+}
+
+/// One change of rows, and the same of one key.
+fn step(position: u64, held: Rows, keys: &mut std::collections::BTreeMap<u16, Known>, (kind, who, one, other): (u8, u8, u8, u8)) -> Rows {
+    let (name, (from, to)) = (NAMES[who as usize % 4], edges(one, other));
+    let (through, token) = (position.saturating_sub((who / 4 % 6) as u64), format!("token-{position}"));
+    let fence = rows::holder_of(&held, from).map(|row| row.fence - (who > 200) as u64 * row.fence.min(1)).unwrap_or(0);
+    keys.iter_mut().for_each(|(key, (holder, at, owed, told))| {
+        let inside = (from..=to).contains(key);
+        match kind % 6 {
+            0..=2 if inside && holder.as_deref() != Some(name) => {
+                owed.extend(holder.replace(name.into()).map(|old| (old, position)));
+                *at = position;
+            }
+            3 if inside => {
+                if owed.iter().any(|(owing, lost)| owing == name && *lost <= through) {
+                    *told = token.clone();
+                }
+                owed.retain(|(owing, lost)| owing != name || *lost > through);
+            }
+            4 if inside && *at == fence => owed.clear(),
+            5 => {
+                if holder.as_deref() == Some(name) || owed.iter().any(|(owing, _)| owing == name) {
+                    told.clear();
+                }
+                holder.take_if(|held| held == name);
+                owed.retain(|(owing, _)| owing != name);
+            }
+            _ => {}
+        }
+    });
+    match kind % 6 {
+        0..=2 => rows::recast(held, &[(from, to, name.into())], position),
+        3 => rows::released(held, name, through, &[(from, to, token)]),
+        4 => rows::settled(held, &[(from, to, fence)]),
+        _ => rows::ended(held, name),
+    }
+}
+
+#[test]
+fn rows_say_of_each_key_what_it_went_through_and_fences_only_grow() {
+    props::drawn::<[(u8, u8, u8, u8); 48]>(400, |steps| {
+        let mut held = rows::empty();
+        let mut each: std::collections::BTreeMap<u16, Known> = keys().into_iter().map(|key| (key, (None, 0, Vec::new(), String::new()))).collect();
+        steps.iter().zip(1u64..).for_each(|(drawn, position)| {
+            let next = step(position, held.clone(), &mut each, *drawn);
+            whole(&next);
+            each.iter().for_each(|(key, wanted)| {
+                let row = |rows| rows::holder_of(rows, *key).expect("every key has a row").clone();
+                assert_eq!(&known(&row(&next)), wanted, "key {key} after {drawn:?} at {position}");
+                assert!(row(&next).fence >= row(&held).fence, "a fence went back");
+                let moved = row(&next).holder.is_some_and(|holder| row(&held).holder != Some(holder));
+                assert!(!moved || row(&next).fence == position && row(&next).fence > row(&held).fence, "a new holder has a new fence");
+            });
+            let told = rows::changed(&held, &next);
+            assert_eq!(rows::patched(held.clone(), told), next, "whoever held the old rows and hears the changes holds the new ones");
+            held = next;
+        });
+    });
+}
+
+#[test]
+fn a_release_is_taken_as_far_as_it_knew_the_log() {
+    let all = |name: &str| [(0, u16::MAX, name.to_string())];
+    let moved = |rows: Rows, name: &str, at: u64| rows::recast(rows, &all(name), at);
+    // It lost them at 5, had them again, and lost them once more at 9.
+    let held = moved(moved(moved(moved(rows::empty(), "a", 3), "b", 5), "a", 7), "b", 9);
+    let late = rows::released(held, "a", 8, &[(0, u16::MAX, "old".into())]);
+    assert_eq!(late[0].owed, [("b".to_string(), 7), ("a".to_string(), 9)], "a word from before 9 says nothing of 9");
+    let now = rows::released(late, "a", 9, &[(0, u16::MAX, "new".into())]);
+    assert_eq!((now[0].owed.len(), now[0].token.as_str()), (1, "new"));
+    assert_eq!(rows::settled(now.clone(), &[(0, u16::MAX, 7)]), now, "waited out for another fence");
+}
--- /dev/null
+++ b/crates/troupe/tests/casting.rs
@@ -0,0 +1,36 @@
+//! Placements of all keys: everyone's share, and no key moved without need (design 11.4).
+
+use playbill::bill::rows::{self, Rows};
+
+fn count(rows: &Rows, name: &str, keep: impl Fn(&rows::Row) -> bool) -> u32 {
+    rows.iter().filter(|row| row.holder.as_deref() == Some(name) && keep(row)).map(|row| (row.to - row.from) as u32 + 1).sum()
+}
+
+#[test]
+fn a_placement_gives_all_keys_in_proportion_and_moves_as_few_as_it_can() {
+    props::drawn::<([u8; 8], [u16; 8], [(u16, u16, u8); 12])>(400, |(shares, weights, before)| {
+        let name = |number: u8| format!("player-{}", number % 8);
+        // Whatever stood before: rows of any cut, some of them nobody's or of someone who is gone.
+        let held = before.iter().zip(1u64..).fold(rows::empty(), |rows, ((one, other, who), position)| {
+            let row = (*one.min(other), *one.max(other), name(*who));
+            if who % 5 == 0 { rows::ended(rows, &row.2) } else { rows::recast(rows, &[row], position) }
+        });
+        let there = (0..8u8).filter(|number| shares[*number as usize] > 100);
+        let parts: Vec<troupe::Part> = there.map(|number| (name(number), 0.5 + weights[number as usize] as f64 / 9.0)).collect();
+        let cast = troupe::cast(&held, &parts);
+        if parts.is_empty() {
+            return assert!(cast.is_empty());
+        }
+        assert_eq!((cast.first().map(|row| row.0), cast.last().map(|row| row.1)), (Some(0), Some(65_535)));
+        assert!(cast.windows(2).all(|pair| pair[0].1 as u32 + 1 == pair[1].0 as u32), "every key once: {cast:?}");
+        let moved = rows::recast(held.clone(), &cast, 100);
+        let whole: f64 = parts.iter().map(|(_, share)| share).sum();
+        parts.iter().for_each(|(name, share)| {
+            let (has, wanted, had) = (count(&moved, name, |_| true), share / whole * 65_536.0, count(&held, name, |_| true));
+            assert!((has as f64 - wanted).abs() <= 1.0, "{name} has {has}, its share is {wanted}");
+            let kept = count(&moved, name, |row| row.fence < 100);
+            assert_eq!(kept, had.min(has), "{name} keeps what fits its share");
+        });
+        assert_eq!(rows::recast(moved.clone(), &troupe::cast(&moved, &parts), 101), moved, "nothing moves without a reason");
+    });
+}
