A back end that was silent comes back; earlier lives end; nothing is told to the log for ever

Change: silence alone only makes silent; once the hold has run out the back end lets go of what it owes. What the first beat that a process hears says it holds may be held for the longest hold. Whoever else the log has beside the node has ended once another beats on there, and is silent before. Of two names in one breath the one that beats again counts. What the log has is not told.

Excluded: grants and rows.

--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -49,8 +49,14 @@
     pub drained: Option<Micros>,
     /// Until then it may hold what it was last told to.
     pub held_until: Micros,
+    /// Until then it may hold what an earlier process of this node told it to.
+    pub told_before: Micros,
     pub silent: bool,
     pub probing: bool,
+    /// Heard more than once: no late beat of an earlier life.
+    pub beats_on: bool,
+    /// The log did not take it up: it has the end of this name already.
+    pub denied: bool,
 }
 
 pub struct Owner {
@@ -63,7 +69,11 @@
     pub(crate) own: Option<Own>,
     /// Ends still to be told, and whether each is sure.
     pub(crate) ends: std::collections::BTreeMap<String, bool>,
+    /// Names this process tells the end of: a late beat brings none back.
+    pub(crate) over: std::collections::BTreeSet<String>,
     pub(crate) facts: Vec<Report>,
+    /// When this process began.
+    pub(crate) began: Micros,
     pub(crate) telling: bool,
     pub(crate) logger: slog::Logger,
 }
@@ -77,7 +87,8 @@
         let keys = Keys::new(env.keys);
         let outlook = following.outlook.clone();
         let (ends, facts) = (Default::default(), Vec::new());
-        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own: None, ends, facts, telling: false, logger };
+        let (own, over, began, telling) = (None, Default::default(), playbill::now(), false);
+        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own, ends, over, facts, began, telling, logger };
         tokio::spawn(async move {
             while let Some(command) = buffer.recv().await {
                 owner.take(command).await;
@@ -145,7 +156,12 @@
 
     fn beat(&mut self, beat: Beat) -> BeatAnswer {
         let now = playbill::now();
-        if self.ends.contains_key(&beat.name) {
+        // While another beats, one that the log had here before is the earlier life, and its beat comes late. Of two in one
+        // breath, as after a standstill, the one that lives beats again.
+        let within = |span: Micros| self.own.as_ref().is_some_and(|own| own.beat.name != beat.name && now < own.heard + span);
+        let known = self.outlook.load().programme.players.contains_key(&beat.name);
+        let earlier = within(self.env.beat_every / 4) || known && within(self.env.beat_every * 2);
+        if earlier || self.ends.contains_key(&beat.name) || self.over.contains(&beat.name) {
             return None;
         }
         let late = self.own.as_ref().is_some_and(|own| own.beat.name == beat.name && own.beat.sequence >= beat.sequence);
@@ -162,9 +178,12 @@
             let (service, name) = (beat.service.clone(), beat.name.clone());
             self.facts.push(Report::Released { service, name, through: programme.position, rows: beat.freed.clone() });
         }
-        let held = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
+        // The first beat heard here: what it holds it was told before, and nobody here knows for how long.
+        let unknown = if beat.holds.is_empty() { 0 } else { now + self.env.keys.most };
+        let (held, before) = self.own.as_ref().map(|own| (own.held_until, own.told_before)).unwrap_or((0, unknown));
+        let (beats_on, denied) = (self.own.is_some(), self.own.as_ref().is_some_and(|own| own.denied));
         let drained = self.own.as_ref().and_then(|own| own.drained).or(beat.draining.then_some(now));
-        let mut own = Own { heard: now, drained, held_until: held, silent: false, probing: false, beat };
+        let mut own = Own { heard: now, drained, held_until: held, told_before: before, silent: false, probing: false, beats_on, denied, beat };
         let rows = programme.castings.get(&own.beat.service).map(|held| held.1.clone()).unwrap_or_default();
         let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
         let grant = self.keys.grant(now, proved, &rows, &own.beat.name, &own.beat.holds).filter(|_| keyed);
--- a/crates/troupe/src/facts.rs
+++ b/crates/troupe/src/facts.rs
@@ -18,7 +18,7 @@
             let held = programme.players.get(&name);
             let phase = held.map(|held| held.phase);
             let joined = match held {
-                None => !own.silent,
+                None => !own.silent && !own.denied,
                 Some(held) => held.slots != player.slots || held.node != player.node,
             };
             let joined = joined.then(|| Report::Joined {
@@ -27,12 +27,31 @@
             });
             let silent = (phase == Some(playbill::Phase::Registered) && own.silent) || (phase == Some(playbill::Phase::PresumedGone) && !own.silent);
             let silent = silent.then(|| Report::Silent { name: name.clone(), silent: own.silent });
-            let drains = own.drained.is_some() && phase.is_none_or(|phase| phase == playbill::Phase::Registered);
+            let drains = own.drained.is_some() && phase.map_or(!own.denied, |phase| phase == playbill::Phase::Registered);
             let drains = drains.then_some(Report::Draining { name });
             [joined, silent, drains].into_iter().flatten()
         });
-        let ends = self.ends.iter().map(|(name, surely)| Report::Ended { name: name.clone(), surely: *surely });
-        (!place).then_some(node).into_iter().chain(self.facts.clone()).chain(own).chain(ends).collect()
+        // One that signed off is told once; that its process is gone, too, once that is sure.
+        let ends = self.ends.iter().filter(|(name, surely)| **surely || programme.players.contains_key(*name));
+        let ends = ends.map(|(name, surely)| Report::Ended { name: name.clone(), surely: *surely });
+        let others = self.strangers(&programme);
+        (!place).then_some(node).into_iter().chain(self.facts.clone()).chain(own).chain(ends).chain(others).collect()
+    }
+
+    /// One back end to a machine: whoever else the log has beside this node is an earlier life, gone with its process,
+    /// though this process never heard it. While no other is heard it is only silent.
+    fn strangers(&self, programme: &playbill::bill::Programme) -> Vec<Report> {
+        // Where the log knows both, the one that beats on is the one that lives.
+        let sure = |own: &&crate::desk::Own| own.beats_on || !programme.players.contains_key(&own.beat.name);
+        let (own, sure) = (self.own.as_ref().map(|own| own.beat.name.as_str()), self.own.as_ref().is_some_and(|own| sure(&own)));
+        let patient = playbill::now() > self.began + self.env.beat_every * MISSED;
+        let here = programme.players.iter().filter(|(name, player)| player.node == self.env.node && !self.ends.contains_key(*name));
+        here.filter(|(name, _)| own != Some(name))
+            .filter_map(|(name, player)| match own {
+                Some(_) => sure.then(|| Report::Ended { name: name.clone(), surely: true }),
+                None => (patient && player.phase == playbill::Phase::Registered).then(|| Report::Silent { name: name.clone(), silent: true }),
+            })
+            .collect()
     }
 
     /// One entry at a time; what changes meanwhile goes with the next.
@@ -46,6 +65,7 @@
             return;
         }
         self.telling = true;
+        self.over.extend(wanted.iter().filter_map(|wanted| if let Report::Ended { name, .. } = wanted { Some(name.clone()) } else { None }));
         let (reports, commands) = (self.reports.clone(), self.commands.clone());
         let outlook = self.outlook.clone();
         tokio::spawn(async move {
@@ -68,6 +88,12 @@
         if outcome.is_none() {
             return;
         }
+        // Told once more it would change nothing either.
+        let unchanged = matches!(outcome, Some(playbill::Outcome::Unchanged { .. }));
+        self.own
+            .iter_mut()
+            .filter(|own| unchanged && told.iter().any(|told| matches!(told, Report::Joined { name, .. } if *name == own.beat.name)))
+            .for_each(|own| own.denied = true);
         self.facts.retain(|fact| !told.contains(fact));
         self.ends.retain(|name, surely| {
             let gone = told.contains(&Report::Ended { name: name.clone(), surely: *surely });
@@ -87,10 +113,15 @@
             own.silent = true;
         }
         // Nobody renews what it holds: once that has run out it holds nothing.
-        if own.silent && now > own.held_until + self.env.beat_every {
-            let name = own.beat.name.clone();
+        let over = own.silent && now > own.held_until.max(own.told_before) + self.env.beat_every;
+        let name = own.beat.name.clone();
+        if over && self.ends.contains_key(&name) {
             return self.refuses(&name, true);
         }
+        if over {
+            self.holds_nothing();
+        }
+        let Some(own) = self.own.as_mut() else { return };
         own.probing = true;
         let (address, name, commands) = (own.beat.address.clone(), own.beat.name.clone(), self.commands.clone());
         tokio::spawn(async move {
@@ -104,6 +135,21 @@
         });
     }
 
+    /// It may be heard again, under the same name; whoever waits for what it owes need not.
+    fn holds_nothing(&mut self) {
+        let programme = self.outlook.load().programme.clone();
+        let Some(own) = &self.own else { return };
+        let (service, name) = (own.beat.service.clone(), own.beat.name.clone());
+        let rows = programme.castings.get(&service).map(|held| held.1.clone()).unwrap_or_default();
+        let owed = rows.iter().filter(|row| row.owed.iter().any(|(owing, _)| *owing == name));
+        let rows: Vec<_> = owed.map(|row| (row.from, row.to, String::new())).collect();
+        let fact = Report::Released { service, name, through: programme.position, rows };
+        let owes = matches!(&fact, Report::Released { rows, .. } if !rows.is_empty());
+        if owes && !self.facts.contains(&fact) {
+            self.facts.push(fact);
+        }
+    }
+
     pub(crate) fn refuses(&mut self, name: &str, refuses: bool) {
         if let Some(own) = self.own.as_mut().filter(|own| own.beat.name == name) {
             own.probing = false;
