--- /dev/null
+++ b/crates/rehearsal/src/keysim/judge.rs
@@ -0,0 +1,48 @@
+//! What must hold: one holder at a time, fences that grow, all keys held again (design 11.4, 11.5).
+
+use playbill::Micros;
+use playbill::bill::Key;
+
+#[derive(Default)]
+pub struct Judge {
+    pub broken: Vec<String>,
+    /// Rows taken up or renewed.
+    pub taken: usize,
+    /// Of these the ones that came with what their last holder had handed over.
+    pub handed_over: usize,
+}
+
+impl Judge {
+    pub(super) fn breaks(&mut self, now: Micros, promise: &str, told: String) {
+        if self.broken.len() < 40 {
+            self.broken.push(format!("{promise}: at {now} {told}"));
+        }
+    }
+
+    /// `taker` has just taken up or renewed what it holds.
+    pub(super) fn taken(&mut self, now: Micros, players: &[super::player::Player], taker: usize) {
+        let own = players[taker].held(now);
+        let others = players.iter().zip(0..).filter(|(player, at)| *at != taker && player.alive);
+        let clash = others.flat_map(|(player, _)| player.held(now).into_iter().map(|row| (player.name(), row))).find_map(|(name, (from, to, fence))| {
+            let met = own.iter().find(|(start, end, _)| *start <= to && from <= *end)?;
+            Some(format!("{} holds {met:?}, {name} holds {:?}", players[taker].name(), (from, to, fence)))
+        });
+        clash.into_iter().for_each(|told| self.breaks(now, "owner", told));
+    }
+
+    /// At the end, well after the last fault: every key has a holder, and everyone who is there holds some.
+    pub(super) fn close(&mut self, now: Micros, players: &[super::player::Player]) {
+        let mut held: Vec<(Key, Key)> =
+            players.iter().filter(|player| player.alive).flat_map(|player| player.held(now)).map(|(from, to, _)| (from, to)).collect();
+        held.sort();
+        let reach = held.iter().fold(0u32, |reach, (from, to)| if *from as u32 <= reach { reach.max(*to as u32 + 1) } else { reach });
+        if reach <= Key::MAX as u32 {
+            self.breaks(now, "unheld", format!("nobody holds key {reach}: {held:?}"));
+        }
+        let idle = players.iter().filter(|player| player.alive && player.held(now).is_empty()).map(super::player::Player::name);
+        let idle: Vec<String> = idle.collect();
+        if !idle.is_empty() {
+            self.breaks(now, "idle", format!("{idle:?} live and hold nothing"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/keysim/plan.rs
@@ -0,0 +1,52 @@
+//! What a simulated service is told (design 11.5).
+
+use playbill::Micros;
+
+/// One guard each, left out in the simulator only, so that its promise is seen broken.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Without {
+    /// The next holder waits for nobody.
+    pub wait: bool,
+    /// A hold lasts as long as the proof, by the back end's slow clock, and the next holder waits no longer.
+    pub slow_clock: bool,
+    /// Grants need no fresh proof.
+    pub proof: bool,
+    /// A release speaks of losses that come after it.
+    pub through: bool,
+    /// Whoever is not heard is taken for gone with its process.
+    pub honest_ends: bool,
+    /// A node that starts again takes back ends for holding nothing until it has granted something itself.
+    pub memory: bool,
+    /// A node looks only after the back end it has heard itself.
+    pub strangers: bool,
+    /// Whoever was silent until its hold ran out has ended.
+    pub return_of_silent: bool,
+    /// The end of one that signed off is told until it is sure, though the log has it.
+    pub rest: bool,
+    /// Whoever's beat is read last is taken for the one that lives.
+    pub late: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct KeyPlan {
+    pub seed: u64,
+    pub nodes: usize,
+    pub keys: troupe::KeysEnv,
+    pub beat_every: Micros,
+    pub drain: Micros,
+    pub ask_every: Micros,
+    pub without: Without,
+}
+
+impl KeyPlan {
+    pub fn new(seed: u64) -> Self {
+        let keys = troupe::KeysEnv { bound: 9_000_000, guard: 200_000, most: 10_000_000 };
+        let nodes = 3 + (seed % 6) as usize;
+        KeyPlan { seed, nodes, keys, beat_every: 1_500_000, drain: 2_000_000, ask_every: 1_000_000, without: Without::default() }
+    }
+
+    /// Within it every key is held again: a node's watchers, a placement that found its base moved, the bound, beats.
+    pub fn recovery(&self) -> Micros {
+        self.keys.bound + self.keys.guard + 12_000_000
+    }
+}
