--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -37,7 +37,8 @@
 /// Pieces of the rows, none across two ranges that are asked for differently.
 fn pieces(rows: &Rows, asks: &[Ask], parts: &[Part]) -> Vec<Piece> {
     let whole: f64 = asks.iter().map(|(.., weight)| weight).sum();
-    let whole = if whole > 0.0 { whole } else { 1.0 };
+    // Where nothing is known of what is asked, a key weighs one.
+    let whole = if whole > 0.0 { whole } else { KEYS / SPREAD };
     let spread = |from: u32, to: u32| whole * SPREAD * (to - from + 1) as f64 / KEYS;
     let places: std::collections::HashMap<&str, usize> = parts.iter().enumerate().map(|(at, (name, _))| (name.as_str(), at)).collect();
     rows.iter()
@@ -84,6 +85,17 @@
     })
 }
 
+/// Whole keys in proportion to shares, all of them given.
+fn quotas(parts: &[Part], can: f64) -> Vec<f64> {
+    let upto = |share: f64| (share / can * KEYS).round();
+    let sums = parts.iter().scan(0.0, |sum, (_, own)| {
+        let before = *sum;
+        *sum += own;
+        Some(upto(*sum) - upto(before))
+    });
+    sums.collect()
+}
+
 /// Rows for all keys. Whoever is no more than `slack` above a fair share keeps what it has; what is above it, and what
 /// nobody holds, goes to those furthest below theirs.
 pub fn cast(rows: &Rows, asks: &[Ask], parts: &[Part], slack: f64) -> Cast {
@@ -91,9 +103,14 @@
     if can <= 0.0 {
         return Vec::new();
     }
+    // Without slack to the key; else small pieces stay whole.
+    let crumb = slack.min(0.05);
     let mut pieces = pieces(rows, asks, parts);
     let whole: f64 = pieces.iter().map(|piece| piece.weight).sum();
-    let fair: Vec<f64> = parts.iter().map(|(_, own)| whole * own / can).collect();
+    let fair: Vec<f64> = match asks.is_empty() {
+        false => parts.iter().map(|(_, own)| whole * own / can).collect(),
+        true => quotas(parts, can),
+    };
     let mut held = loads(&pieces, parts.len());
     let mut free: Vec<Piece> = Vec::new();
     let mut kept: Vec<Piece> = Vec::new();
@@ -102,7 +119,7 @@
         let Some(holder) = piece.holder else { return free.push(piece) };
         let above = held[holder] - fair[holder];
         // A move of next to nothing is not worth its gap.
-        if above <= fair[holder] * slack || above < piece.weight * 0.05 {
+        if above <= fair[holder] * slack || above < piece.weight * crumb {
             return kept.push(piece);
         }
         let (low, high) = piece.cut(above);
@@ -119,7 +136,7 @@
         let room = |at: usize| (fair[at] - held[at]) / fair[at].max(f64::EPSILON);
         let Some(taker) = (0..parts.len()).max_by(|one, other| room(*one).total_cmp(&room(*other))) else { break };
         let left = (fair[taker] - held[taker]).max(0.0);
-        let whole_fits = piece.weight <= left * 1.2 || left < piece.weight * 0.1;
+        let whole_fits = piece.weight <= left * (1.0 + 4.0 * crumb) || left < piece.weight * 2.0 * crumb;
         let (low, high) = if whole_fits { (Some(piece), None) } else { piece.cut(left) };
         // One key is never cut: if nothing fits, it goes whole.
         let (given_now, rest) = if low.is_some() { (low, high) } else { (high, None) };
--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -1,6 +1,6 @@
 //! The one owner of the back end beside this node: its beats, its drain, its end (design 11.2).
 
-use crate::keys::{Grant, Keys, KeysEnv};
+use crate::keys::{Keys, KeysEnv};
 use playbill::bill::{Key, Player, Report};
 use playbill::{Micros, Position};
 
@@ -35,7 +35,7 @@
 /// `None`: the beat renews nothing.
 pub type BeatAnswer = Option<(Vec<(Key, Key, Position, String)>, Micros)>;
 
-type Answer = tokio::sync::oneshot::Sender<BeatAnswer>;
+pub(crate) type Answer = tokio::sync::oneshot::Sender<BeatAnswer>;
 
 pub(crate) enum Command {
     Beat(Box<Beat>, Answer),
@@ -55,15 +55,18 @@
     pub drained: Option<Micros>,
     /// Until then it may hold what it was last told to.
     pub held_until: Micros,
+    /// Until then it may hold what an earlier process of this node told it to.
+    pub told_before: Micros,
     pub silent: bool,
     pub probing: bool,
     /// The latest beat's answer, kept back while there is nothing to say.
     pub(crate) kept: Option<Answer>,
+    /// Heard more than once: no late beat of an earlier life.
+    pub beats_on: bool,
+    /// The log did not take it up: it has the end of this name already.
+    pub denied: bool,
 }
 
-/// An answer is kept back so long at most: whoever beats waits a second for it.
-const KEPT: std::time::Duration = std::time::Duration::from_millis(650);
-
 pub struct Owner {
     pub(crate) env: TroupeEnv,
     pub(crate) outlook: gallery::SharedOutlook,
@@ -74,7 +77,10 @@
     pub(crate) own: Option<Own>,
     /// Ends still to be told, and whether each is sure.
     pub(crate) ends: std::collections::BTreeMap<String, bool>,
+    /// Names this process tells the end of: a late beat brings none back.
+    pub(crate) over: std::collections::BTreeSet<String>,
     pub(crate) facts: Vec<Report>,
+    /// When this process began.
     pub(crate) began: Micros,
     pub(crate) telling: bool,
     pub(crate) logger: slog::Logger,
@@ -89,8 +95,8 @@
         let keys = Keys::new(env.keys);
         let outlook = following.outlook.clone();
         let (ends, facts) = (Default::default(), Vec::new());
-        let (began, telling) = (playbill::now(), false);
-        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own: None, ends, facts, began, telling, logger };
+        let (own, over, began, telling) = (None, Default::default(), playbill::now(), false);
+        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own, ends, over, facts, began, telling, logger };
         tokio::spawn(async move {
             while let Some(command) = buffer.recv().await {
                 owner.take(command).await;
@@ -163,69 +169,6 @@
         self.pit.local(local).await;
     }
 
-    fn beat(&mut self, beat: Beat, answer: Answer) {
-        let now = playbill::now();
-        let late = self.own.as_ref().is_some_and(|own| own.beat.name == beat.name && own.beat.sequence >= beat.sequence);
-        if late || self.ends.contains_key(&beat.name) {
-            return drop(answer.send(None));
-        }
-        if let Some(earlier) = self.own.take_if(|own| own.beat.name != beat.name) {
-            // One back end to a machine: the earlier life is over, its process with it.
-            self.ends.insert(earlier.beat.name, true);
-        }
-        // The log may know of one from before this node started.
-        let programme = self.outlook.load().programme.clone();
-        let earlier = programme.players.iter().filter(|(name, player)| player.node == self.env.node && **name != beat.name);
-        self.ends.extend(earlier.map(|(name, _)| (name.clone(), true)));
-        if !beat.freed.is_empty() {
-            let (service, name, through) = (beat.service.clone(), beat.name.clone(), programme.position);
-            self.facts.push(Report::Released { service, name, through, rows: beat.freed.clone() });
-        }
-        let held_until = self.own.as_ref().map(|own| own.held_until).unwrap_or(0);
-        let first = self.own.is_none();
-        let news = beat.draining && self.own.as_ref().is_none_or(|own| own.drained.is_none()) || !beat.freed.is_empty();
-        let drained = self.own.as_ref().and_then(|own| own.drained).or(beat.draining.then_some(now));
-        let (name, sequence, commands) = (beat.name.clone(), beat.sequence, self.commands.clone());
-        self.own = Some(Own { heard: now, drained, held_until, silent: false, probing: false, kept: Some(answer), beat });
-        self.answer(first || news);
-        if self.own.as_ref().is_some_and(|own| own.kept.is_some()) {
-            tokio::spawn(async move {
-                tokio::time::sleep(KEPT).await;
-                drop(commands.send(Command::Due(name, sequence)).await);
-            });
-        }
-    }
-
-    /// Answers the latest beat when its rows change by it, or when it is due: so that who is to let go, and who is
-    /// to get, hear it as soon as it stands in the log and not at their next beat (design 11.5).
-    fn answer(&mut self, due: bool) {
-        let Some(mut own) = self.own.take() else { return };
-        let (now, outlook) = (playbill::now(), self.outlook.load_full());
-        let programme = &outlook.programme;
-        let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
-        let rows = programme.castings.get(&own.beat.service).map(|held| held.1.clone()).unwrap_or_default();
-        if own.kept.is_some() {
-            let grant = self.keys.grant(now, outlook.proved, &rows, &own.beat.name, &own.beat.holds).filter(|_| keyed);
-            let told = |grant: &Grant| grant.rows.iter().map(|(from, to, fence, _)| (*from, *to, *fence)).collect::<Vec<_>>();
-            let changes = grant.as_ref().is_some_and(|grant| told(grant) != own.beat.holds);
-            if due || changes {
-                let answer = grant.map(|grant| self.granted(now, &mut own, grant));
-                own.kept.take().into_iter().for_each(|kept| drop(kept.send(answer.clone())));
-            }
-        }
-        self.own = Some(own);
-    }
-
-    fn granted(&mut self, now: Micros, own: &mut Own, grant: Grant) -> (Vec<(Key, Key, Position, String)>, Micros) {
-        if !grant.settled.is_empty() {
-            self.facts.push(Report::Settled { service: own.beat.service.clone(), rows: grant.settled });
-        }
-        own.held_until = now + grant.hold;
-        // What it was told is what it holds from here on.
-        own.beat.holds = grant.rows.iter().map(|(from, to, fence, _)| (*from, *to, *fence)).collect();
-        (grant.rows, grant.hold)
-    }
-
     /// The back end as the owner of its slots has to know it.
     fn local(&self) -> Option<pit::Local> {
         let own = self.own.as_ref()?;
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -155,7 +155,7 @@
     let uneven = || may_even && asked > ENOUGH && !on_their_way() && uneven();
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
-        () if unused => (Why::Unused, 0.0),
+        () if unused => (Why::Unused, LEFT_ALONE / 2.0),
         () if uneven() => (Why::Uneven, LEFT_ALONE),
         () => return None,
     };
--- a/crates/troupe/src/lib.rs
+++ b/crates/troupe/src/lib.rs
@@ -1,5 +1,6 @@
 //! The back ends beside a node: beats and ends, keys granted and let go, and who is to hold which (design 11).
 
+mod beats;
 mod casting;
 mod desk;
 mod duty;
