Rehearsal: a hollow site, the control side of many nodes with real conns in one process

Cause: the size to design for, a thousand nodes, had only been reckoned; no command brought more than sixteen machines, and frames were counted by zone only, greetings not at all.

`rehearsal hollow` starts P core seats and N nodes of the product's own code, each on a thread of its own with a runtime of its own, as the daemons run; back ends that beat, hold and let go of keys are made up, requests are left out. Stages: gather, rest, changes, restarts, machines lost and back, a region cut off and joined (links stand before every process then). The kernel's count for each thread gives processor time by role; wings counts frames and bytes by what they are for. `--parts` leaves parts of a node out, so a difference is one part's cost. `--counted` says what the code alone says of a size: bytes of the bill, of entries and of bulletins, processor time of the pure parts.

Excluded: one shared runtime (it would hide what a node pays for its own wake-ups) and a counting allocator (unsafe code is forbidden; memory is the process's, by size).

Seen at once, not mended here: a sign-off is offered to the log again and again until the process is gone (152 entries a restart at 16 nodes where 8 say something), and a back end that died with its machine takes work again once the machine is back.

--- /dev/null
+++ b/crates/rehearsal/src/hollow/counted.rs
@@ -0,0 +1,169 @@
+//! Counts from the code alone, at any size: what the bill becomes, what followers are told of it and how long the
+//! pure parts take, without conns (docs/CAPACITY.md).
+
+use playbill::bill::{Act, Bill, Delta, Report};
+
+/// Of one event: entries offered to the log, those that changed the bill, and what one follower hears of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Cost {
+    pub offered: u64,
+    pub entries: u64,
+    pub entry_bytes: u64,
+    pub told_frames: u64,
+    pub told_bytes: u64,
+    pub placements: u64,
+    pub keys_moved: u64,
+}
+
+#[derive(Debug, Default, serde::Serialize)]
+pub struct Counted {
+    pub nodes: usize,
+    pub services: usize,
+    pub lanes: usize,
+    pub bill_bytes: usize,
+    pub whole_bytes: usize,
+    pub costs: std::collections::BTreeMap<&'static str, Cost>,
+    /// Of a region cut off: how often silence is looked at until all are missed, and who is missed wrongly at the join.
+    pub region_rounds: usize,
+    pub region_wrongly: usize,
+    /// Processor time of one call, in microseconds.
+    pub took: std::collections::BTreeMap<&'static str, f64>,
+}
+
+pub(super) struct Log<'a> {
+    pub plan: &'a super::Plan,
+    pub bill: Bill,
+    sequence: u64,
+    pub cost: Cost,
+}
+
+pub(super) fn length(frame: &wings::Frame) -> u64 {
+    // The length and the version go before a frame.
+    rkyv::to_bytes::<rkyv::rancor::Error>(frame).map(|bytes| bytes.len() as u64 + 6).unwrap_or(0)
+}
+
+pub(super) fn bulletin(afresh: bool, deltas: Vec<Delta>) -> wings::Frame {
+    let deltas = rkyv::to_bytes::<rkyv::rancor::Error>(&deltas).map(|bytes| bytes.to_vec()).unwrap_or_default();
+    wings::Frame::Bulletin { afresh, from: 0, to: 1, deltas }
+}
+
+impl Log<'_> {
+    pub fn put(&mut self, origin: &str, act: Act) {
+        self.sequence += 1;
+        let entry = playbill::Entry { origin: origin.into(), life: 1, sequence: self.sequence, act: playbill::Act::Bill(act.clone()) };
+        let length_of_entry = length(&wings::Frame::Forward { number: self.sequence, entry: Box::new(entry) });
+        let before = self.bill.castings.clone();
+        let (_, deltas) = self.bill.apply(origin, 1, self.sequence, act);
+        self.cost.offered += 1;
+        self.cost.entry_bytes += length_of_entry;
+        if deltas.is_empty() {
+            return;
+        }
+        let empty = (0, playbill::bill::rows::empty());
+        let moves = self.bill.castings.iter().map(|(service, held)| super::witness::moved(&before.get(service).unwrap_or(&empty).1, &held.1).1);
+        self.cost.keys_moved += moves.sum::<u64>();
+        self.cost.entries += 1;
+        self.cost.told_frames += 1;
+        self.cost.told_bytes += length(&bulletin(false, deltas));
+    }
+
+    pub fn report(&mut self, at: usize, reports: Vec<Report>) {
+        self.put(&format!("n{at}"), Act::Reports(reports));
+    }
+
+    /// One place for the costs of what was done since.
+    pub fn taken(&mut self) -> Cost {
+        std::mem::take(&mut self.cost)
+    }
+
+    pub fn node(&self, at: usize, life: u64) -> Report {
+        Report::Node { node: format!("n{at}"), zone: self.plan.zone(at), address: format!("127.64.{}.{}:40123", at / 250 + 1, at % 250 + 1), life }
+    }
+
+    pub fn joined(&self, at: usize, life: u64) -> Report {
+        let phase = playbill::Phase::Registered;
+        let player = playbill::bill::Player { service: self.plan.service(at), zone: self.plan.zone(at), node: format!("n{at}"), slots: 8, phase, since: 0 };
+        Report::Joined { name: super::node::back_end(at, life), player }
+    }
+
+    /// As the duty does it: among back ends that take new work.
+    pub fn place(&mut self, service: usize) {
+        if !self.plan.keyed(service) {
+            return;
+        }
+        let name = format!("s{service}");
+        let working = |player: &playbill::bill::Player| {
+            player.phase == playbill::Phase::Registered && self.bill.places.get(&player.node).is_some_and(|place| place.present)
+        };
+        let cast = self.bill.players.iter().filter(|(_, player)| player.service == name && working(player));
+        let parts: Vec<troupe::Part> = cast.map(|(name, player)| (name.clone(), player.slots as f64)).collect();
+        let (base, rows) = self.bill.castings.get(&name).cloned().unwrap_or((0, playbill::bill::rows::empty()));
+        if !parts.is_empty() {
+            let rows = troupe::cast(&rows, &parts);
+            self.cost.placements += 1;
+            self.report(service, vec![Report::Recast { service: name, base, rows }]);
+        }
+    }
+
+    /// Whoever lost rows lets them go; those that nobody can let go are waited out and settled by the new holders.
+    pub fn let_go(&mut self, service: usize, gone: &[String]) {
+        let (name, through) = (format!("s{service}"), self.bill.position);
+        let Some((_, rows)) = self.bill.castings.get(&name).cloned() else { return };
+        let owed = rows.iter().flat_map(|row| row.owed.iter().map(move |(owing, _)| (owing.clone(), row.from, row.to)));
+        let by_owing = owed.fold(std::collections::BTreeMap::<String, Vec<(u16, u16, String)>>::new(), |mut held, (owing, from, to)| {
+            held.entry(owing).or_default().push((from, to, "t".into()));
+            held
+        });
+        by_owing.into_iter().filter(|(owing, _)| !gone.contains(owing)).for_each(|(owing, rows)| {
+            self.report(service, vec![Report::Released { service: name.clone(), name: owing, through, rows }]);
+        });
+        let rows = self.bill.castings.get(&name).map(|held| held.1.clone()).unwrap_or_default();
+        let settled = rows.iter().filter(|row| !row.owed.is_empty()).filter_map(|row| row.holder.clone().map(|holder| (holder, (row.from, row.to, row.fence))));
+        let by_holder = settled.fold(std::collections::BTreeMap::<String, Vec<_>>::new(), |mut held, (holder, row)| {
+            held.entry(holder).or_default().push(row);
+            held
+        });
+        by_holder.into_values().for_each(|rows| self.report(service, vec![Report::Settled { service: name.clone(), rows }]));
+    }
+}
+
+/// The whole site as the log holds it once all is placed.
+pub(super) fn gathered(plan: &super::Plan) -> Log<'_> {
+    let mut log = Log { plan, bill: Bill::default(), sequence: 0, cost: Cost::default() };
+    log.put("operator", Act::Items(plan.first_call()));
+    (0..plan.nodes).for_each(|at| {
+        let reports = vec![log.node(at, 1), log.joined(at, 1)];
+        log.report(at, reports);
+    });
+    (0..plan.services).for_each(|service| log.place(service));
+    log
+}
+
+pub fn count(plan: &super::Plan) -> Counted {
+    let mut log = gathered(plan);
+    let mut counted = Counted { nodes: plan.nodes, services: plan.services, lanes: plan.lanes, ..Default::default() };
+    counted.bill_bytes = log.bill.to_bytes().len();
+    counted.whole_bytes = length(&bulletin(true, log.bill.whole())) as usize;
+    counted.costs.insert("gather", log.taken());
+    log.put("operator", Act::Items(plan.change(0)));
+    counted.costs.insert("change", log.taken());
+    super::events::restart(&mut log, 0);
+    counted.costs.insert("restart", log.taken());
+    let zone: Vec<usize> = (0..plan.nodes).filter(|at| at % plan.zones == 0).collect();
+    let region: Vec<usize> = (0..plan.nodes).filter(|at| plan.region(*at) == plan.regions - 1).collect();
+    let rack: Vec<usize> = zone.iter().copied().take(16).collect();
+    [("machine", "machine back", vec![0]), ("rack", "rack back", rack), ("zone", "zone back", zone), ("region", "region back", region.clone())]
+        .into_iter()
+        .filter(|(.., gone)| gone.len() < plan.nodes)
+        .for_each(|(lost, back, gone)| {
+            super::events::lost(&mut log, &gone);
+            counted.costs.insert(lost, log.taken());
+            super::events::back(&mut log, &gone, lost == "region");
+            counted.costs.insert(back, log.taken());
+        });
+    if plan.regions > 1 {
+        (counted.region_rounds, counted.region_wrongly) = super::events::rounds(&log, &region);
+    }
+    counted.took = super::events::took(&log);
+    counted
+}
--- /dev/null
+++ b/crates/rehearsal/src/hollow/events.rs
@@ -0,0 +1,127 @@
+//! Events as the nodes put them in the log, and how long the pure parts of it take a processor.
+
+use super::counted::{Log, bulletin};
+use playbill::bill::{Programme, Report};
+
+fn services(log: &Log, gone: &[usize]) -> std::collections::BTreeSet<usize> {
+    gone.iter().map(|at| at % log.plan.services).collect()
+}
+
+fn watched(log: &Log, at: usize) -> Vec<(usize, Report)> {
+    let node = format!("n{at}");
+    let life = log.bill.places.get(&node).map(|place| place.life).unwrap_or(0);
+    // Who they are does not matter to the count.
+    let watchers = (1..=gallery::ring::WATCHERS.min(log.plan.nodes - 1)).map(|step| (at + step) % log.plan.nodes);
+    watchers.map(|watcher| (watcher, Report::Watch { watcher: format!("n{watcher}"), node: node.clone(), life, missed: true })).collect()
+}
+
+/// Drains, its keys go and are let go, it signs off; then it comes back under a new life and gets keys again.
+pub(super) fn restart(log: &mut Log, at: usize) {
+    let (service, name) = (at % log.plan.services, super::node::back_end(at, 1));
+    log.report(at, vec![Report::Draining { name: name.clone() }]);
+    log.place(service);
+    log.let_go(service, &[]);
+    log.report(at, vec![Report::Ended { name: name.clone(), surely: false }]);
+    log.report(at, vec![Report::Ended { name, surely: true }]);
+    let reports = vec![log.node(at, 2), log.joined(at, 2)];
+    log.report(at, reports);
+    log.place(service);
+    log.let_go(service, &[]);
+}
+
+pub(super) fn lost(log: &mut Log, gone: &[usize]) {
+    let watched: Vec<_> = gone.iter().flat_map(|at| watched(log, *at)).collect();
+    watched.into_iter().for_each(|(watcher, report)| log.report(watcher, vec![report]));
+    let names: Vec<String> = log.bill.players.iter().filter(|(_, player)| gone.contains(&number(&player.node))).map(|(name, _)| name.clone()).collect();
+    services(log, gone).into_iter().for_each(|service| {
+        log.place(service);
+        log.let_go(service, &names);
+    });
+}
+
+fn number(node: &str) -> usize {
+    node[1..].parse().unwrap_or(usize::MAX)
+}
+
+/// As new machines, or as the same that were only cut off.
+pub(super) fn back(log: &mut Log, gone: &[usize], same: bool) {
+    gone.iter().for_each(|at| {
+        let life = log.bill.places.get(&format!("n{at}")).map(|place| place.life).unwrap_or(1) + !same as u64;
+        let old: Vec<String> = log.bill.players.iter().filter(|(_, player)| number(&player.node) == *at).map(|(name, _)| name.clone()).collect();
+        let ended = old.into_iter().filter(|_| !same).map(|name| Report::Ended { name, surely: true });
+        let joined = (!same).then(|| log.joined(*at, life));
+        let reports = std::iter::once(log.node(*at, life)).chain(joined).chain(ended).collect();
+        log.report(*at, reports);
+    });
+    services(log, gone).into_iter().for_each(|service| {
+        log.place(service);
+        log.let_go(service, &[]);
+    });
+}
+
+type Nodes = std::collections::BTreeMap<String, playbill::Node>;
+
+pub(super) fn ring(log: &Log) -> Nodes {
+    let node = |place: &playbill::bill::Place| playbill::Node {
+        zone: place.zone.clone(),
+        address: place.address.clone(),
+        incarnation: place.life,
+        present: place.present,
+        reporters: Default::default(),
+        since: place.since,
+    };
+    log.bill.places.iter().map(|(name, place)| (name.clone(), node(place))).collect()
+}
+
+/// A region that is cut off: looks at the silence until the other side misses all of it, and how many of the other
+/// side two watchers inside will have missed by the time they are heard again.
+pub(super) fn rounds(log: &Log, region: &[usize]) -> (usize, usize) {
+    let mut nodes = ring(log);
+    let inside: std::collections::BTreeSet<String> = region.iter().map(|at| format!("n{at}")).collect();
+    let by = |nodes: &Nodes, name: &String, of: bool| gallery::ring::watchers(nodes, name).iter().filter(|watcher| inside.contains(*watcher) == of).count();
+    let wrongly = nodes.keys().filter(|name| !inside.contains(*name) && by(&nodes, name, true) >= 2).count();
+    let rounds = (1..=20).find(|_| {
+        let missed: Vec<String> = inside.iter().filter(|name| nodes[*name].present && by(&nodes, name, false) >= 2).cloned().collect();
+        missed.iter().for_each(|name| nodes.entry(name.clone()).or_insert_with(|| unreachable!()).present = false);
+        inside.iter().all(|name| !nodes[name].present) || missed.is_empty()
+    });
+    (rounds.unwrap_or(20), wrongly)
+}
+
+/// Mean processor time of this thread, in microseconds.
+fn timed(times: u32, mut work: impl FnMut()) -> f64 {
+    let ran = || {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+        time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
+    };
+    let before = ran();
+    (0..times).for_each(|_| work());
+    (ran() - before) / times as f64
+}
+
+pub(super) fn took(log: &Log) -> std::collections::BTreeMap<&'static str, f64> {
+    let (bill, plan) = (&log.bill, log.plan);
+    let whole = Programme::default().told(true, bill.position, bill.whole());
+    let place = bill.places.iter().next().map(|(name, place)| playbill::bill::Delta::Place(name.clone(), Some(place.clone())));
+    let lane = playbill::bill::Delta::Item(playbill::bill::Kind::Lane, "l0".into(), 9, plan.change(0).puts.pop().map(|put| put.body));
+    let rows = bill.castings.values().next().map(|held| held.1.clone()).unwrap_or_default();
+    let parts: Vec<troupe::Part> = rows.iter().filter_map(|row| row.holder.clone()).map(|name| (name, 8.0)).collect();
+    let times = (20_000 / plan.nodes as u32).max(5);
+    std::collections::BTreeMap::from([
+        // What a node does twice a second (crates/troupe/src/watch.rs).
+        (
+            "ring tick",
+            timed(times, || {
+                let nodes = ring(log);
+                std::hint::black_box((gallery::ring::watchers(&nodes, "n0"), gallery::ring::wards(&nodes, "n0")));
+            }),
+        ),
+        ("told of a place", timed(times, || drop(std::hint::black_box(whole.told(false, 9, place.iter().cloned().collect()))))),
+        ("told of a lane", timed(times, || drop(std::hint::black_box(whole.told(false, 9, vec![lane.clone()]))))),
+        ("told the whole", timed(5, || drop(std::hint::black_box(Programme::default().told(true, 9, bill.whole()))))),
+        ("whole as bytes", timed(5, || drop(std::hint::black_box(bulletin(true, bill.whole()))))),
+        ("snapshot", timed(5, || drop(std::hint::black_box(bill.to_bytes())))),
+        ("items judged", timed(5, || drop(std::hint::black_box(playbill::bill::items::faults(&bill.items, &plan.change(0)))))),
+        ("cast of a service", timed(50, || drop(std::hint::black_box(troupe::cast(&rows, &parts))))),
+    ])
+}
--- /dev/null
+++ b/crates/rehearsal/src/hollow/node.rs
@@ -0,0 +1,241 @@
+//! One node of a hollow site: the product's own on a thread of its own, and beside it a made-up back end that
+//! beats, holds the keys it is told to, lets go of those it lost, drains and ends.
+
+use super::{Parts, Plan};
+
+pub enum Order {
+    /// In good order: the back end drains and signs off, the node stops.
+    Leave,
+    /// Without a word, as a machine without power.
+    Vanish,
+}
+
+pub struct Hollow {
+    pub at: usize,
+    pub back_end: String,
+    pub life: u64,
+    pub following: gallery::Following,
+    orders: tokio::sync::mpsc::UnboundedSender<Order>,
+    /// Closed once all its tasks are gone.
+    ended: tokio::sync::watch::Receiver<()>,
+}
+
+/// What a node is made of; its place in the site says the rest.
+#[derive(Clone)]
+pub struct Making {
+    pub plan: std::sync::Arc<Plan>,
+    pub places: Vec<String>,
+    pub links: Option<super::Linked>,
+    pub known: gallery::Known,
+}
+
+const BEAT_EVERY: playbill::Micros = 1_500_000;
+const SLOTS: u32 = 8;
+type Rows = Vec<(u16, u16, playbill::Position)>;
+
+pub fn back_end(at: usize, life: u64) -> String {
+    format!("b{at}.{life}")
+}
+
+/// As `tour usher` is set (platform/src/usher.rs).
+fn env(plan: &Plan, places: &[String], at: usize, life: u64, address: String) -> troupe::NodeEnv {
+    let most = 10_000_000;
+    troupe::NodeEnv {
+        troupe: troupe::TroupeEnv {
+            node: format!("n{at}"),
+            zone: plan.zone(at),
+            address,
+            life,
+            keys: troupe::KeysEnv { bound: most * 9 / 10, guard: 200_000, most },
+            beat_every: BEAT_EVERY,
+            drain: 2_000_000,
+        },
+        service: plan.service(at),
+        seeds: places.to_vec(),
+        words: lobby::words::OWN,
+        pick: apron::PickEnv { crossing: 15_000, earned_of_100: 8, allowance: 1 },
+        ahead: 1,
+        ask_every: 1_000_000,
+        watch_every: 500_000,
+        watch_patience: 3_000_000,
+    }
+}
+
+pub fn start(making: &Making, at: usize, life: u64) -> Result<Hollow, String> {
+    let plan = making.plan.clone();
+    let (listener, address) = super::seats::bind(plan.host(plan.seats + at), making.links.as_ref())?;
+    let env = env(&plan, &making.places, at, life, address);
+    let (orders, mut ordered) = tokio::sync::mpsc::unbounded_channel();
+    let (ends, ended) = tokio::sync::watch::channel(());
+    let (told, hears) = std::sync::mpsc::channel();
+    let (known, back_end) = (making.known.clone(), back_end(at, life));
+    let name = back_end.clone();
+    let plays = move || {
+        let _ends = ends;
+        let Ok(runtime) = super::seats::runtime() else { return };
+        runtime.block_on(async {
+            let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+            let part = Part::start(&plan, env.clone(), known, listener);
+            drop(told.send(part.following()));
+            let acts = async {
+                match part.troupe() {
+                    Some(troupe) => act(troupe, &env, name, &mut ordered).await,
+                    None => ordered.recv().await.map(|_| ()).unwrap_or_default(),
+                }
+            };
+            acts.await;
+            if let Part::Whole(node, ..) = &part {
+                node.stop(std::time::Duration::from_millis(500)).await;
+            }
+        });
+    };
+    std::thread::Builder::new().name(format!("node-{at}")).spawn(plays).map_err(|error| error.to_string())?;
+    let following = hears.recv().map_err(|error| error.to_string())?;
+    Ok(Hollow { at, back_end, life, following, orders, ended })
+}
+
+impl Hollow {
+    pub fn order(&self, order: Order) {
+        drop(self.orders.send(order));
+    }
+
+    pub async fn gone(&self) {
+        let mut ended = self.ended.clone();
+        while ended.changed().await.is_ok() {}
+    }
+}
+
+enum Part {
+    Following(gallery::Following),
+    Troupe(gallery::Following, troupe::Troupe),
+    Whole(Box<troupe::Node>),
+}
+
+impl Part {
+    fn start(plan: &Plan, env: troupe::NodeEnv, known: gallery::Known, listener: tokio::net::TcpListener) -> Part {
+        let logger = playbill::log::quiet();
+        if plan.parts == Parts::Whole {
+            return Part::Whole(Box::new(troupe::Node::start(env, listener, logger)));
+        }
+        let own = env.troupe.clone();
+        // Each node's own, as it would be: nobody shares a table with another process.
+        let mine = gallery::acquaint::nobody();
+        gallery::acquaint::merge(&mine, gallery::acquaint::list(&known));
+        let (place, table) = (own.clone(), mine.clone());
+        let greeting = |purpose| {
+            let (own, mine) = (place.clone(), table.clone());
+            move || wings::Greeting {
+                purpose,
+                name: own.node.clone(),
+                zone: own.zone.clone(),
+                address: own.address.clone(),
+                incarnation: own.life,
+                core: None,
+                blank: false,
+                expects: None,
+                known: gallery::acquaint::list(&mine),
+            }
+        };
+        let line = gallery::FollowingEnv { name: own.node.clone(), zone: own.zone.clone(), ask_every: env.ask_every, patience: env.ask_every * 2 };
+        let following = gallery::following::start(line, mine.clone(), greeting(wings::Purpose::Subscribe), logger.clone());
+        tokio::spawn(gallery::acquaint::run(mine.clone(), env.seeds.clone(), greeting(wings::Purpose::Acquaint), || 3));
+        if plan.parts == Parts::Following {
+            return Part::Following(following);
+        }
+        let reporting = gallery::ReportingEnv { name: own.node.clone(), life: own.life, logger: logger.clone() };
+        let reports = gallery::Reports::start(reporting, mine, greeting(wings::Purpose::Subscribe));
+        let pit = pit::Pit::start(pit::PitEnv { words: env.words.clone(), ahead: env.ahead });
+        let troupe = troupe::Troupe::start(own, following.clone(), pit, reports, logger);
+        Part::Troupe(following, troupe)
+    }
+
+    fn following(&self) -> gallery::Following {
+        match self {
+            Part::Following(following) | Part::Troupe(following, _) => following.clone(),
+            Part::Whole(node) => node.following.clone(),
+        }
+    }
+
+    fn troupe(&self) -> Option<&troupe::Troupe> {
+        match self {
+            Part::Following(_) => None,
+            Part::Troupe(_, troupe) => Some(troupe),
+            Part::Whole(node) => Some(&node.troupe),
+        }
+    }
+}
+
+/// Beats until it is ordered to go; in good order only once it has drained, and nobody beats for it any more.
+async fn act(troupe: &troupe::Troupe, env: &troupe::NodeEnv, name: String, orders: &mut tokio::sync::mpsc::UnboundedReceiver<Order>) {
+    // The process is found alive by whoever dials it.
+    let Ok(process) = std::net::TcpListener::bind("127.0.0.1:0") else { return };
+    let address = process.local_addr().map(|address| address.to_string()).unwrap_or_default();
+    let mut every = tokio::time::interval(std::time::Duration::from_micros(env.troupe.beat_every));
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut sequence, mut held, mut lost): (u64, Rows, Vec<(u16, u16)>) = Default::default();
+    let mut drains: Option<playbill::Micros> = None;
+    loop {
+        tokio::select! {
+            _ = every.tick() => {}
+            order = orders.recv() => match order {
+                Some(Order::Leave) => {
+                    drains = Some(playbill::now() + env.troupe.drain);
+                    every.reset_immediately();
+                    continue;
+                }
+                _ => return,
+            },
+        }
+        sequence += 1;
+        let beat = troupe::Beat {
+            name: name.clone(),
+            service: env.service.clone(),
+            address: address.clone(),
+            zone: env.troupe.zone.clone(),
+            slots: SLOTS,
+            draining: drains.is_some(),
+            sequence,
+            holds: held.clone(),
+            freed: std::mem::take(&mut lost).into_iter().map(|(from, to)| (from, to, format!("t{sequence}"))).collect(),
+        };
+        if let Some(Some((rows, _))) = troupe.beat(beat).await {
+            let kept: Rows = rows.into_iter().map(|(from, to, fence, _)| (from, to, fence)).collect();
+            lost = less(&held, &kept);
+            held = kept;
+        }
+        // Drained, and told so with what it let go.
+        if drains.is_some_and(|until| playbill::now() >= until && lost.is_empty()) {
+            troupe.sign_off(name.clone()).await.unwrap_or_default();
+            // Its process ends a moment later, and the node with the next look at it.
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            drop(process);
+            return tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        }
+    }
+}
+
+/// The keys of `held` that are not in `kept`.
+fn less(held: &Rows, kept: &Rows) -> Vec<(u16, u16)> {
+    let whole = held.iter().map(|(from, to, _)| (*from as u32, *to as u32)).collect::<Vec<_>>();
+    let left = kept.iter().fold(whole, |left, (from, to, _)| {
+        let (from, to) = (*from as u32, *to as u32);
+        let cut = |(low, high): (u32, u32)| {
+            let below = (low < from).then(|| (low, high.min(from - 1)));
+            let above = (high > to).then(|| (low.max(to + 1), high));
+            below.into_iter().chain(above)
+        };
+        left.into_iter().flat_map(cut).collect()
+    });
+    left.into_iter().map(|(from, to)| (from as u16, to as u16)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn what_is_lost_is_what_was_held_and_is_no_more() {
+        let held = vec![(0, 99, 3), (200, u16::MAX, 3)];
+        assert_eq!(super::less(&held, &held), vec![]);
+        assert_eq!(super::less(&held, &vec![(0, 49, 3), (300, 399, 9)]), vec![(50, 99), (200, 299), (400, u16::MAX)]);
+        assert_eq!(super::less(&held, &vec![]), vec![(0, 99), (200, u16::MAX)]);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/hollow/site.rs
@@ -0,0 +1,120 @@
+//! A hollow site while it is played: its seats, its nodes, and whether all that is there stands in the log.
+
+use super::node::{Hollow, Making};
+use super::{Parts, Plan};
+use playbill::bill::Report;
+
+pub struct Site {
+    pub plan: std::sync::Arc<Plan>,
+    pub seats: super::seats::Seats,
+    pub nodes: Vec<Option<Hollow>>,
+    pub witness: super::witness::Witness,
+    pub making: Making,
+    lives: u64,
+}
+
+impl Site {
+    pub async fn start(plan: Plan, links: Option<super::Linked>) -> Result<Site, String> {
+        let seats = super::seats::start(&plan, links.as_ref()).await?;
+        let plan = std::sync::Arc::new(plan);
+        let known = seats.known(&plan);
+        let witness = super::witness::Witness::start(plan.clone(), known.clone());
+        let making = Making { plan: plan.clone(), places: seats.places.clone(), links, known };
+        let written = seats.cores[0].amend(plan.first_call()).await;
+        if !matches!(written, Some(playbill::Outcome::Accepted { .. })) {
+            return Err(format!("the first items were not taken: {written:?}"));
+        }
+        Ok(Site { nodes: (0..plan.nodes).map(|_| None).collect(), plan, seats, witness, making, lives: 1 })
+    }
+
+    pub fn start_node(&mut self, at: usize) -> Result<(), String> {
+        self.lives += 1;
+        self.nodes[at] = Some(super::node::start(&self.making, at, self.lives)?);
+        Ok(())
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = &Hollow> {
+        self.nodes.iter().flatten()
+    }
+
+    /// Nodes, back ends and keys that no node tells of: made up, so that the log says what it otherwise would.
+    pub async fn make_up(&self) -> Result<(), String> {
+        let (plan, put) = (&self.plan, async |sequence: u64, reports: Vec<Report>| {
+            let act = playbill::Act::Bill(playbill::bill::Act::Reports(reports));
+            let entry = playbill::Entry { origin: "made-up".into(), life: 1, sequence, act };
+            self.seats.cores[0].submit(entry).await.ok_or("the made-up cast was not taken")
+        });
+        let address = "127.0.0.1:65535".to_string();
+        let node = |at: usize| Report::Node { node: format!("n{at}"), zone: plan.zone(at), address: address.clone(), life: 1 };
+        let player = |at: usize| {
+            let phase = playbill::Phase::Registered;
+            let player = playbill::bill::Player { service: plan.service(at), zone: plan.zone(at), node: format!("n{at}"), slots: 8, phase, since: 0 };
+            Report::Joined { name: super::node::back_end(at, 1), player }
+        };
+        if plan.parts == Parts::Following {
+            put(1, (0..plan.nodes).flat_map(|at| [node(at), player(at)]).collect()).await?;
+        } else {
+            self.nodes_stand().await?;
+        }
+        let programme = self.witness.programme();
+        let recasts = (0..plan.services).filter(|service| plan.keyed(*service)).map(|service| {
+            let live = programme.cast(&format!("s{service}"));
+            let known = live.iter().map(|one| one.name.clone());
+            let parts: Vec<troupe::Part> = match plan.parts {
+                Parts::Following => (service..plan.nodes).step_by(plan.services).map(|at| (super::node::back_end(at, 1), 8.0)).collect(),
+                _ => known.map(|name| (name, 8.0)).collect(),
+            };
+            Report::Recast { service: format!("s{service}"), base: 0, rows: troupe::cast(&playbill::bill::rows::empty(), &parts) }
+        });
+        put(2, recasts.collect()).await?;
+        Ok(())
+    }
+
+    /// Every node that is there stands in the log with its back end.
+    async fn nodes_stand(&self) -> Result<playbill::Micros, String> {
+        super::until("every node stands in the log", || self.missing().is_none()).await
+    }
+
+    fn missing(&self) -> Option<String> {
+        let programme = self.witness.programme();
+        let stands = |held: &&Hollow| {
+            let here = programme.places.get(&format!("n{}", held.at)).is_some_and(|place| place.present && place.life == held.life);
+            here && programme.players.get(&held.back_end).is_some_and(|player| player.phase == playbill::Phase::Registered)
+        };
+        let made_up = self.plan.parts == Parts::Following;
+        self.live().find(|held| !made_up && !stands(held)).map(|held| format!("n{} does not stand in the log", held.at))
+    }
+
+    /// Why not all is in order yet: somebody missing, keys without a holder or still owed, news under way.
+    pub fn unsettled(&self) -> Option<String> {
+        let programme = self.witness.programme();
+        let open = || {
+            let keyed = (0..self.plan.services).filter(|service| self.plan.keyed(*service)).map(|service| format!("s{service}"));
+            keyed.into_iter().find_map(|service| {
+                let cast = programme.cast(&service);
+                let held = |row: &playbill::bill::Row| row.holder.as_ref().is_some_and(|holder| cast.iter().any(|one| one.name == *holder));
+                let rows = programme.castings.get(&service).map(|held| &held.1);
+                let fine = cast.is_empty() || rows.is_some_and(|rows| rows.iter().all(|row| held(row) && row.owed.is_empty()));
+                (!fine).then(|| format!("keys of {service} are under way"))
+            })
+        };
+        let behind = |held: &&Hollow| {
+            let outlook = held.following.outlook.load();
+            outlook.proved == 0 || outlook.programme.position < programme.position
+        };
+        self.missing().or_else(open).or_else(|| self.live().find(behind).map(|held| format!("n{} is behind", held.at)))
+    }
+
+    pub async fn settled(&self, what: &str) -> Result<playbill::Micros, String> {
+        let waited = super::until(what, || self.unsettled().is_none()).await;
+        waited.map_err(|told| format!("{told}: {}", self.unsettled().unwrap_or_default()))
+    }
+
+    /// Back ends in the log that beat nowhere any more, beside nodes that are there.
+    pub fn ghosts(&self) -> usize {
+        let programme = self.witness.programme();
+        let lives: std::collections::HashSet<&String> = self.live().map(|held| &held.back_end).collect();
+        let working = programme.players.iter().filter(|(_, player)| programme.takes_work(player));
+        if self.plan.parts == Parts::Following { 0 } else { working.filter(|(name, _)| !lives.contains(name)).count() }
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet_plan;
 pub mod forgers;
 pub mod history;
+pub mod hollow;
 pub mod links;
 pub mod notes;
 pub mod operators;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -23,7 +23,7 @@
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains("--help") {
-        return print!("{HELP}");
+        return print!("{HELP}{}", rehearsal::hollow::flags::HELP);
     }
     let runtime = tokio::runtime::Runtime::new();
     let ended = runtime.map_err(|error| error.to_string()).and_then(|runtime| match arguments.subcommand() {
@@ -34,6 +34,7 @@
             count();
             Ok(())
         }
+        Ok(Some(word)) if word == "hollow" => runtime.block_on(hollow(arguments)),
         Ok(Some(word)) if word == "seat" => runtime.block_on(seat(arguments)),
         Ok(Some(word)) if word == "understudy" => runtime.block_on(understudy(arguments)),
         _ => {
@@ -192,6 +193,18 @@
     if broken == 0 { Ok(()) } else { Err(format!("{broken} scenarios broke an invariant")) }
 }
 
+/// Stdout: a table, then one line of JSON.
+async fn hollow(arguments: pico_args::Arguments) -> Result<(), String> {
+    let (plan, counted) = rehearsal::hollow::flags::read(arguments).unwrap_or_else(|told| wrong(&told));
+    if counted {
+        println!("{}", serde_json::to_string(&rehearsal::hollow::counted::count(&plan)).unwrap_or_default());
+        return Ok(());
+    }
+    let report = rehearsal::hollow::run(plan, true).await?;
+    println!("{}\n{}", report.table(), report.json());
+    Ok(())
+}
+
 /// Takes what `prompter` takes, and how long a sync is.
 async fn seat(mut arguments: pico_args::Arguments) -> Result<(), String> {
     let mut text = |flag: &'static str| usage(arguments.value_from_str::<_, String>(flag));
--- /dev/null
+++ b/crates/rehearsal/tests/hollow.rs
@@ -0,0 +1,66 @@
+//! The smallest hollow site, judged by what it counted and not by how long it took (docs/CAPACITY.md).
+
+fn plan(name: &str) -> rehearsal::hollow::Plan {
+    rehearsal::hollow::Plan {
+        nodes: 6,
+        services: 2,
+        zones: 2,
+        regions: 2,
+        seats: 3,
+        lanes: 4,
+        seconds: 2,
+        changes: 3,
+        restarts: 0,
+        lost: 0,
+        hop: 0,
+        cut: 0,
+        parts: rehearsal::hollow::Parts::Whole,
+        folder: std::env::temp_dir().join(format!("gradeford-{name}-{}", std::process::id())),
+    }
+}
+
+fn played(plan: rehearsal::hollow::Plan) -> rehearsal::hollow::Report {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(rehearsal::hollow::run(plan, false)).expect("it is played")
+}
+
+#[test]
+fn a_change_is_told_once_to_every_follower_and_rest_puts_nothing_in_the_log() {
+    let report = played(plan("hollow-changes"));
+    let (rest, changes) = (report.stage("rest").expect("a rest"), report.stage("changes").expect("changes"));
+    assert_eq!((rest.tally.entries, rest.syncs, rest.frames("forward"), rest.frames("bulletin")), (0, 0, 0, 0), "{rest:?}");
+    // Six nodes, each beating to three others and following one seat.
+    assert!(rest.frames("beat") > rest.frames("ask") && rest.frames("proof") + 10 > rest.frames("ask"), "{rest:?}");
+    let followers = 7;
+    assert_eq!((changes.tally.entries, changes.frames("bulletin"), changes.frames("forward")), (3, 3 * followers, 0), "{changes:?}");
+    let bytes = changes.said["bulletin"].1;
+    let counted = rehearsal::hollow::counted::count(&plan("hollow-counted"));
+    // What the code says of one change is what went over the conns.
+    assert_eq!(bytes, 3 * followers * counted.costs["change"].told_bytes, "{changes:?}");
+}
+
+#[test]
+fn wrong_flags_are_named_and_nothing_starts() {
+    let own = std::env::current_exe().expect("a path");
+    let program = own.ancestors().nth(2).expect("the build's folder").join("rehearsal");
+    let told = |words: &[&str]| {
+        let output = std::process::Command::new(&program).arg("hollow").args(words).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+    };
+    let fine = ["--nodes", "4", "--services", "2", "--zones", "2", "--regions", "1"];
+    let wrong: [(&[&str], &str); 9] = [
+        (&["--nodes", "4"], "--services: is missing"),
+        (&["--nodes", "many", "--services", "2", "--zones", "2", "--regions", "1"], "--nodes"),
+        (&["--nodes", "4", "--services", "5", "--zones", "2", "--regions", "1"], "--services: 5 is not from 1 to 4"),
+        (&["--nodes", "4", "--services", "2", "--zones", "2", "--regions", "3"], "--regions: 3"),
+        (&[&fine[..], &["--cut", "3"]].concat(), "--cut: there is only one region"),
+        (&[&fine[..], &["--parts", "half"]].concat(), "--parts: there is no"),
+        (&[&fine[..], &["--parts", "following", "--lost", "1"]].concat(), "--parts: restarts"),
+        (&[&fine[..], &["--speed", "9"]].concat(), "--speed: is not a flag"),
+        (&["--nodes", "4000", "--services", "2", "--zones", "2", "--regions", "1"], "--nodes: 4000 nodes need"),
+    ];
+    wrong.iter().for_each(|(words, named)| {
+        let (code, told) = told(words);
+        assert!(code == Some(2) && told.contains(named), "{words:?}: {code:?} {told}");
+    });
+}
--- a/crates/wings/src/conn.rs
+++ b/crates/wings/src/conn.rs
@@ -40,6 +40,7 @@
     out.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
     out.extend_from_slice(&crate::VERSION.to_be_bytes());
     out.extend_from_slice(&bytes);
+    crate::traffic::said(frame, bytes.len() + 6);
     Ok(())
 }
 
