A sign-off is told once, and a back end that went with its machine does not come back with it

Cause, one: after a sign-off the end stays in mind until the process is surely gone, and whatever is in mind was offered to the log at every look, as fast as the log answered. A sign-off of a name the node had already let go of would have gone on for ever. Now an end that is not sure is told only while the log still has the back end.

Cause, two: a node that came back under a new life knew nothing of the back end that had died with the earlier one. Now whoever else stands beside a node whose back end beats ended with an earlier life, as one machine has one back end.

Excluded: ending them in the book when a node reports a new life, as a node that only restarts finds its back end alive. Open: a machine that comes back and whose back end never beats again leaves the earlier one as registered.

The test counts what is offered to the log and who takes work.

--- a/crates/rehearsal/tests/hollow.rs
+++ b/crates/rehearsal/tests/hollow.rs
@@ -19,7 +19,11 @@
     }
 }
 
+/// Frames are counted for the whole process: one site at a time.
+static ALONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+
 fn played(plan: rehearsal::hollow::Plan) -> rehearsal::hollow::Report {
+    let _alone = ALONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(rehearsal::hollow::run(plan, false)).expect("it is played")
 }
@@ -39,6 +43,20 @@
     assert_eq!(bytes, 3 * followers * counted.costs["change"].told_bytes, "{changes:?}");
 }
 
+#[test]
+fn a_restart_is_told_once_and_a_lost_machines_back_end_stays_gone() {
+    let plan = rehearsal::hollow::Plan { changes: 0, restarts: 2, lost: 1, ..plan("hollow-restarts") };
+    let report = played(plan);
+    let (restarts, lost, back) = (report.stage("restarts"), report.stage("lost"), report.stage("back"));
+    let (restarts, lost, back) = (restarts.expect("restarts"), lost.expect("a loss"), back.expect("a return"));
+    // Of one restart: drains, keys go, are let go and waited for, ends twice, comes, keys come; some fall together.
+    assert!((2 * 5..=2 * 20).contains(&restarts.frames("forward")), "{restarts:?}");
+    assert!(restarts.tally.entries <= restarts.frames("forward"), "{restarts:?}");
+    // Three watchers, a placement, what is waited out.
+    assert!((3..=16).contains(&lost.frames("forward")), "{lost:?}");
+    assert!([restarts, lost, back].iter().all(|stage| stage.extra["ghosts"] == 0.0), "{back:?}");
+}
+
 #[test]
 fn wrong_flags_are_named_and_nothing_starts() {
     let own = std::env::current_exe().expect("a path");
--- a/crates/troupe/src/facts.rs
+++ b/crates/troupe/src/facts.rs
@@ -31,8 +31,15 @@
             let drains = drains.then_some(Report::Draining { name });
             [joined, silent, drains].into_iter().flatten()
         });
-        let ends = self.ends.iter().map(|(name, surely)| Report::Ended { name: name.clone(), surely: *surely });
-        (!place).then_some(node).into_iter().chain(self.facts.clone()).chain(own).chain(ends).collect()
+        // What may live on is told once: until it is sure the log has nothing to add.
+        let news = self.ends.iter().filter(|(name, surely)| **surely || programme.players.contains_key(*name));
+        let ends = news.map(|(name, surely)| Report::Ended { name: name.clone(), surely: *surely });
+        // One back end to a machine: whoever else stands there ended with an earlier life of it.
+        let earlier = self.own.iter().flat_map(|own| {
+            let others = programme.players.iter().filter(|(name, player)| player.node == env.node && **name != own.beat.name);
+            others.filter(|(name, _)| !self.ends.contains_key(*name)).map(|(name, _)| Report::Ended { name: name.clone(), surely: true })
+        });
+        (!place).then_some(node).into_iter().chain(self.facts.clone()).chain(own).chain(ends).chain(earlier).collect()
     }
 
     /// One entry at a time; what changes meanwhile goes with the next.
