A node that hears no proof blames none of its wards: a region joined again no longer takes the other's nodes away

Cause: nodes of a region cut off miss their wards on the other side, hold the reports until the core answers again, and then tell them: whoever has two of three watchers inside is presumed gone while it serves, and its keys are placed anew. Now a watch whose latest proof is older than two thirds of its patience does not look; the pause it so makes forgives what it had not heard, as an own standstill does.

Excluded: dropping reports that waited (an end or a let-go must not be dropped), and a limit on their age in the log (it has no clock).

--- a/crates/rehearsal/src/hollow/events.rs
+++ b/crates/rehearsal/src/hollow/events.rs
@@ -61,7 +61,7 @@
 
 type Nodes = std::collections::BTreeMap<String, playbill::Node>;
 
-pub(super) fn ring(log: &Log) -> Nodes {
+fn ring(places: &playbill::bill::cast::Places) -> Nodes {
     let node = |place: &playbill::bill::Place| playbill::Node {
         zone: place.zone.clone(),
         address: place.address.clone(),
@@ -70,13 +70,13 @@
         reporters: Default::default(),
         since: place.since,
     };
-    log.bill.places.iter().map(|(name, place)| (name.clone(), node(place))).collect()
+    places.iter().map(|(name, place)| (name.clone(), node(place))).collect()
 }
 
 /// A region that is cut off: looks at the silence until the other side misses all of it, and how many of the other
 /// side two watchers inside will have missed by the time they are heard again.
 pub(super) fn rounds(log: &Log, region: &[usize]) -> (usize, usize) {
-    let mut nodes = ring(log);
+    let mut nodes = ring(&log.bill.places);
     let inside: std::collections::BTreeSet<String> = region.iter().map(|at| format!("n{at}")).collect();
     let by = |nodes: &Nodes, name: &String, of: bool| gallery::ring::watchers(nodes, name).iter().filter(|watcher| inside.contains(*watcher) == of).count();
     let wrongly = nodes.keys().filter(|name| !inside.contains(*name) && by(&nodes, name, true) >= 2).count();
@@ -106,13 +106,22 @@
     let lane = playbill::bill::Delta::Item(playbill::bill::Kind::Lane, "l0".into(), 9, plan.change(0).puts.pop().map(|put| put.body));
     let rows = bill.castings.values().next().map(|held| held.1.clone()).unwrap_or_default();
     let parts: Vec<troupe::Part> = rows.iter().filter_map(|row| row.holder.clone()).map(|name| (name, 8.0)).collect();
+    let away = bill.places.iter().map(|(name, place)| (format!("{name}.old"), playbill::bill::Place { present: false, ..place.clone() }));
+    let twice: playbill::bill::cast::Places = bill.places.clone().into_iter().chain(away).collect();
     let times = (20_000 / plan.nodes as u32).max(5);
     std::collections::BTreeMap::from([
         // What a node does twice a second (crates/troupe/src/watch.rs).
         (
             "ring tick",
             timed(times, || {
-                let nodes = ring(log);
+                let nodes = ring(&bill.places);
+                std::hint::black_box((gallery::ring::watchers(&nodes, "n0"), gallery::ring::wards(&nodes, "n0")));
+            }),
+        ),
+        (
+            "ring tick, twice the names",
+            timed(times, || {
+                let nodes = ring(&twice);
                 std::hint::black_box((gallery::ring::watchers(&nodes, "n0"), gallery::ring::wards(&nodes, "n0")));
             }),
         ),
--- a/crates/rehearsal/tests/hollow.rs
+++ b/crates/rehearsal/tests/hollow.rs
@@ -57,6 +57,16 @@
     assert!([restarts, lost, back].iter().all(|stage| stage.extra["ghosts"] == 0.0), "{back:?}");
 }
 
+#[test]
+fn a_region_that_was_cut_off_blames_nobody_when_it_is_joined() {
+    let cut = rehearsal::hollow::Plan { nodes: 10, seats: 5, changes: 0, cut: 7, ..plan("hollow-cut") };
+    // So many nodes outside have two watchers inside, who hear nothing of them meanwhile.
+    assert!(rehearsal::hollow::counted::count(&cut).region_wrongly > 0);
+    let report = played(cut);
+    let (cut, joined) = (report.stage("cut").expect("a cut"), report.stage("joined").expect("a join"));
+    assert_eq!((cut.extra["absent_outside"], joined.extra["absent_outside"]), (0.0, 0.0), "{joined:?}");
+}
+
 #[test]
 fn wrong_flags_are_named_and_nothing_starts() {
     let own = std::env::current_exe().expect("a path");
--- a/crates/troupe/src/watch.rs
+++ b/crates/troupe/src/watch.rs
@@ -48,7 +48,9 @@
                         lines.insert(address.clone(), line);
                         tokio::spawn(carry(address, (greet)(wings::Purpose::Watch), beats));
                     });
-                    let missed = watch.tick(playbill::now(), &nodes, &env.node, env.patience);
+                    // A node that hears no proof is cut off itself and blames nobody; the pause then forgives all.
+                    let proved = outlook.load().proved + env.patience * 2 / 3 > playbill::now();
+                    let missed = if proved { watch.tick(playbill::now(), &nodes, &env.node, env.patience) } else { Vec::new() };
                     let told: Vec<Report> = missed.into_iter().filter_map(|report| match report {
                         playbill::standing::Report::Watch { watcher, node, incarnation, missed } => Some(Report::Watch { watcher, node, life: incarnation, missed }),
                         _ => None,
