--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -82,6 +82,8 @@
     pub(crate) facts: Vec<Report>,
     /// When this process began.
     pub(crate) began: Micros,
+    /// When it last looked whether one it never heard is still there.
+    pub(crate) looked: Micros,
     pub(crate) telling: bool,
     pub(crate) logger: slog::Logger,
 }
@@ -96,7 +98,7 @@
         let outlook = following.outlook.clone();
         let (ends, facts) = (Default::default(), Vec::new());
         let (own, over, began, telling) = (None, Default::default(), playbill::now(), false);
-        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own, ends, over, facts, began, telling, logger };
+        let mut owner = Owner { env, outlook, pit, reports, commands: commands.clone(), keys, own, ends, over, facts, began, looked: 0, telling, logger };
         tokio::spawn(async move {
             while let Some(command) = buffer.recv().await {
                 owner.take(command).await;
--- a/crates/troupe/src/facts.rs
+++ b/crates/troupe/src/facts.rs
@@ -131,9 +131,9 @@
     fn mind_earlier(&mut self, now: playbill::Micros) {
         let (programme, node) = (self.outlook.load().programme.clone(), &self.env.node);
         let earlier = programme.players.iter().find(|(name, player)| player.node == *node && !self.ends.contains_key(*name));
-        let silent = now > self.began + self.env.beat_every * 2;
+        let silent = now > self.began.max(self.looked) + self.env.beat_every * 2;
         if let Some((address, (name, _))) = self.env.back_end.clone().zip(earlier).filter(|_| silent) {
-            self.began = now;
+            self.looked = now;
             self.probe(address, name.clone());
         }
     }
