Tried: more keys to the fast, and rows on their way left out of the next placement

Cause looked for: late answers of slow back ends, and the first four seconds. The shares follow a measured time that is never still, so keys never rest.

--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -22,8 +22,8 @@
     Demand(usize, tokio::sync::oneshot::Sender<Option<Asked>>),
 }
 
-/// Slots, the mean run and what was asked for since the last telling.
-pub type Asked = (u32, Micros, Vec<(u16, u16, f32)>);
+/// Slots, the mean run, the requests a second on ranges of keys, and how many requests say so.
+pub type Asked = (u32, Micros, Vec<(u16, u16, f32)>, f32);
 
 #[derive(Clone)]
 pub struct Pit(tokio::sync::mpsc::Sender<Command>);
@@ -114,7 +114,10 @@
             Command::Leave => self.leaving = true,
             Command::Demand(most, answer) => {
                 let local = self.local.as_ref().and_then(|local| local.holding.as_ref().map(|holding| (local.slots, holding.rows.clone())));
-                let asked = local.map(|(slots, rows)| (slots, self.buffer.seen_run(), self.demand.tell(&rows, most)));
+                let asked = local.map(|(slots, rows)| {
+                    let (ranges, seen) = self.demand.tell(playbill::now(), &rows, most);
+                    (slots, self.buffer.seen_run(), ranges, seen)
+                });
                 drop(answer.send(asked));
             }
             Command::Load(answer) => drop(answer.send((self.running, self.buffer.len()))),
@@ -144,8 +147,14 @@
         self.buffer.wait(playbill::now(), rank, self.running, self.slots())
     }
 
+    /// What a request would spend here, for those who pick: the wait, and half of a run, as a slow back end is worth
+    /// leaving for a faster one only where that is near.
+    fn told_wait(&self) -> Micros {
+        self.wait(u8::MAX) + self.buffer.seen_run() / 2
+    }
+
     fn answer(&self, answer: Answer, outcome: Result<wings::Take, Trouble>) {
-        drop(answer.send((outcome, self.wait(u8::MAX))));
+        drop(answer.send((outcome, self.told_wait())));
     }
 
     fn enter(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
@@ -156,7 +165,7 @@
         if let Some(trouble) = refusal(self.local.as_ref(), now, &cue) {
             return self.answer(answer, Err(trouble));
         }
-        cue.key.into_iter().for_each(|key| self.demand.asked(key));
+        cue.key.into_iter().for_each(|key| self.demand.asked(now, key));
         let wait = self.wait(cue.rank);
         // What cannot be answered in time is told at once, with when to come back.
         if wait > self.buffer.room(now, now + cue.aim) {
@@ -186,7 +195,7 @@
     fn run(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
         let Some(address) = self.local.as_ref().map(|local| local.address.clone()) else { return };
         self.running += 1;
-        let (door, commands, wait, began) = (self.door.clone(), self.commands.clone(), self.wait(u8::MAX), playbill::now());
+        let (door, commands, wait, began) = (self.door.clone(), self.commands.clone(), self.told_wait(), playbill::now());
         tokio::spawn(async move {
             let left = until.saturating_sub(began);
             let ran = tokio::time::timeout(std::time::Duration::from_micros(left), door.pass(&address, &cue, left)).await;
--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -20,6 +20,8 @@
     to: u32,
     weight: f64,
     holder: Option<usize>,
+    /// On its way to its holder: it is not moved again before it is there.
+    moving: bool,
 }
 
 impl Piece {
@@ -44,7 +46,7 @@
     rows.iter()
         .flat_map(|row| {
             let holder = row.holder.as_deref().and_then(|name| places.get(name).copied());
-            let (from, to) = (row.from as u32, row.to as u32);
+            let (from, to, moving) = (row.from as u32, row.to as u32, !row.owed.is_empty());
             // Both are ordered: the first ask that reaches the row, and on from there.
             let first = asks.partition_point(|(_, end, _)| (*end as u32) < from);
             let within = asks[first..].iter().take_while(|(start, ..)| (*start as u32) <= to);
@@ -53,29 +55,29 @@
             within.for_each(|(start, end, weight)| {
                 let (start, end, keys) = ((*start as u32).max(from), (*end as u32).min(to), (*end - *start) as f64 + 1.0);
                 if next < start {
-                    out.push(Piece { from: next, to: start - 1, weight: spread(next, start - 1), holder });
+                    out.push(Piece { from: next, to: start - 1, weight: spread(next, start - 1), holder, moving });
                 }
                 if next <= end {
                     let start = start.max(next);
-                    out.push(Piece { from: start, to: end, weight: weight * (end - start + 1) as f64 / keys + spread(start, end), holder });
+                    out.push(Piece { from: start, to: end, weight: weight * (end - start + 1) as f64 / keys + spread(start, end), holder, moving });
                     next = end + 1;
                 }
             });
             if next <= to {
-                out.push(Piece { from: next, to, weight: spread(next, to), holder });
+                out.push(Piece { from: next, to, weight: spread(next, to), holder, moving });
             }
             out
         })
         .collect()
 }
 
-/// How far above the mean use the busiest back end is, as the placement stands, and its use: asks over what it can.
-pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> (f64, f64) {
+/// How far above its share the busiest back end is, as the placement stands, and what each is asked for.
+pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> (f64, Vec<f64>) {
     let pieces = pieces(rows, asks, parts);
     let loads = loads(&pieces, parts.len());
     let mean = loads.iter().sum::<f64>() / parts.iter().map(|(_, can)| can).sum::<f64>();
     let most = loads.iter().zip(parts).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
-    (most / mean.max(f64::EPSILON) - 1.0, most)
+    (most / mean.max(f64::EPSILON) - 1.0, loads)
 }
 
 fn loads(pieces: &[Piece], count: usize) -> Vec<f64> {
@@ -117,6 +119,9 @@
     pieces.sort_by_key(|piece| piece.from);
     pieces.into_iter().for_each(|piece| {
         let Some(holder) = piece.holder else { return free.push(piece) };
+        if piece.moving {
+            return kept.push(piece);
+        }
         let above = held[holder] - fair[holder];
         // A move of next to nothing is not worth its gap.
         if above <= fair[holder] * slack || above < piece.weight * crumb {
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -10,17 +10,23 @@
 const QUIET: Micros = 300_000;
 /// The next in order waits so much longer.
 const RANK: Micros = 700_000;
-/// Between two tellings of what is asked for, and how long one is believed.
-const TELL: Micros = 500_000;
-const BELIEVED: Micros = 2_500_000;
-/// A placement for the load alone waits so long after the one before, and until none of its rows is on its way.
+/// Between two tellings of what is asked for: at rest, and while requests wait; and how long one is believed.
+const TELL: Micros = 1_000_000;
+const TELL_SOON: Micros = 200_000;
+const BELIEVED: Micros = 3_500_000;
+/// A placement for the load alone waits so long after the one before; less where the load is far from even.
 const SETTLE: Micros = 1_000_000;
-/// How far above the mean the busiest may be before keys move for it, and what is left alone then.
+const SETTLE_SOON: Micros = 350_000;
+/// How far above its share the busiest may be before keys move for it, if it is busy, and if slots stand free there.
 const UNEVEN: f64 = 0.18;
+const FAR: f64 = 0.7;
 const BUSY: f64 = 0.6;
+/// What is left alone once keys move.
 const LEFT_ALONE: f64 = 0.05;
-/// Requests between two tellings, over all back ends, that speak of the load.
-const ENOUGH: f64 = 30.0;
+/// Requests, over all back ends, that speak of the load.
+const ENOUGH: f64 = 40.0;
+/// The busiest may be used so much where the fast are given more than their part.
+const ROOM: f64 = 0.65;
 /// Stripes of the first placement.
 const STRIPES: u32 = 8;
 /// Ranges in one telling.
@@ -46,7 +52,7 @@
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut since: (Vec<BackEndName>, Micros) = Default::default();
         let mut told = Told::new();
-        let (mut tell_at, mut placed) = (0, 0);
+        let (mut told_at, mut placed) = (0, 0);
         loop {
             every.tick().await;
             let now = playbill::now();
@@ -59,8 +65,9 @@
             if outlook.proved == 0 || !keyed {
                 continue;
             }
-            if now >= tell_at {
-                tell_at = now + TELL;
+            let waits = now >= told_at + TELL_SOON && self.pit.load().await.1 > 0;
+            if waits || now >= told_at + TELL {
+                told_at = now;
                 self.tell(programme, &mut told).await;
             }
             told.retain(|_, (at, _)| now < *at + BELIEVED);
@@ -69,7 +76,7 @@
                 since = (cast, now);
             }
             let rank = rank(programme, &self.service, &self.node);
-            let Some((base, rows, why)) = plan(programme, &self.service, &told, rank == 0 && now >= placed + SETTLE) else { continue };
+            let Some((base, rows, why)) = plan(programme, &self.service, &told, (rank == 0).then(|| now.saturating_sub(placed))) else { continue };
             let quiet = match why {
                 _ if base == 0 => QUIET_FIRST,
                 Why::Orphaned => 0,
@@ -102,8 +109,8 @@
         let weight = |name: &str| playbill::terms::hash(&format!("{}\n{name}", self.service));
         let Some(first) = cast.iter().max_by_key(|one| weight(&one.node)) else { return };
         let Some(own) = programme.players.iter().find(|(_, player)| player.node == self.node && player.service == self.service) else { return };
-        let Some((slots, run, asked)) = self.pit.asked(RANGES).await else { return };
-        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, asked };
+        let Some((slots, run, asked, seen)) = self.pit.asked(RANGES).await else { return };
+        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, asked, seen };
         if first.node == self.node {
             told.insert(own.0.clone(), (playbill::now(), load));
         } else {
@@ -130,43 +137,60 @@
 
 type Wanted = (playbill::Position, crate::Cast, Why);
 
-fn plan(programme: &Programme, service: &str, told: &Told, may_even: bool) -> Option<Wanted> {
+/// `since`: how long ago this node placed keys last, if the duty is its own.
+fn plan(programme: &Programme, service: &str, told: &Told, since: Option<Micros>) -> Option<Wanted> {
     let cast = programme.cast(service);
     if cast.is_empty() {
         return None;
     }
     let empty = (0, playbill::bill::rows::empty());
     let (base, rows) = programme.castings.get(service).map(|held| &**held).unwrap_or(&empty);
-    let held = |name: &str| rows.iter().any(|row| row.holder.as_deref() == Some(name));
-    let orphaned = rows.iter().any(|row| row.holder.as_ref().is_none_or(|holder| !cast.iter().any(|one| one.name == *holder)));
-    let unused = cast.iter().any(|one| !held(&one.name));
-    let parts = parts(&cast, told);
-    let mut asks: Vec<crate::Ask> = told.values().flat_map(|(_, load)| load.asked.iter().map(|(from, to, weight)| (*from, *to, *weight as f64))).collect();
+    let names: std::collections::HashSet<&str> = cast.iter().map(|one| one.name.as_str()).collect();
+    let holders: std::collections::HashSet<Option<&str>> = rows.iter().map(|row| row.holder.as_deref()).collect();
+    let orphaned = holders.iter().any(|holder| holder.is_none_or(|holder| !names.contains(holder)));
+    let unused = names.iter().any(|name| !holders.contains(&Some(name)));
+    if !orphaned && !unused && since.is_none_or(|since| since < SETTLE_SOON) {
+        return None;
+    }
+    let mut asks: Vec<crate::Ask> = told.values().flat_map(|(_, load)| load.asked.iter().map(|(from, to, rate)| (*from, *to, *rate as f64))).collect();
     asks.sort_by_key(|(from, ..)| *from);
-    let on_their_way = || rows.iter().any(|row| !row.owed.is_empty());
-    let asked: f64 = asks.iter().map(|(.., weight)| weight).sum();
-    // What few requests show may be chance.
-    let known = asked / cast.len() as f64;
-    let uneven = || {
-        let (excess, most) = crate::excess(rows, &asks, &parts);
-        // Where slots stand free anyway a move is not worth its gap.
-        excess > UNEVEN + 0.5 / known.sqrt() && (most / TELL as f64 > BUSY || excess > 1.0)
+    let cans = cans(&cast, told);
+    let parts = parts(&cans, asks.iter().map(|(.., rate)| rate).sum());
+    let seen: f64 = told.values().map(|(_, load)| load.seen as f64).sum();
+    let uneven = |since: Micros| {
+        let (excess, loads) = crate::excess(rows, &asks, &parts);
+        let most = loads.iter().zip(&cans).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
+        // What few requests show may be chance; and where slots stand free anyway a move is not worth its gap.
+        let beyond = excess - 0.7 / (seen / cans.len() as f64).sqrt();
+        since >= if beyond > 1.0 { SETTLE_SOON } else { SETTLE } && beyond > if most > BUSY { UNEVEN } else { FAR }
     };
-    let uneven = || may_even && asked > ENOUGH && !on_their_way() && uneven();
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
         () if unused => (Why::Unused, LEFT_ALONE / 2.0),
-        () if uneven() => (Why::Uneven, LEFT_ALONE),
+        () if seen > ENOUGH && since.is_some_and(uneven) => (Why::Uneven, LEFT_ALONE),
         () => return None,
     };
     let wanted = if *base == 0 { crate::stripes(&parts, STRIPES) } else { crate::cast(rows, &asks, &parts, slack) };
     Some((*base, wanted, why))
 }
 
-/// What each back end can do: its slots over the mean time of its runs; who is not known yet counts as the others do.
-fn parts(cast: &[playbill::bill::Onstage], told: &Told) -> Vec<crate::Part> {
+/// Requests a second that each back end can do: its slots over the mean time of its runs; who is not known yet
+/// counts as the others do.
+fn cans(cast: &[playbill::bill::Onstage], told: &Told) -> Vec<crate::Part> {
     let seen = |name: &str| told.get(name).map(|(_, load)| load.run as f64).filter(|run| *run > 0.0);
     let runs: Vec<f64> = cast.iter().filter_map(|one| seen(&one.name)).collect();
-    let mean = if runs.is_empty() { 1.0 } else { runs.iter().sum::<f64>() / runs.len() as f64 };
-    cast.iter().map(|one| (one.name.clone(), one.slots.max(1) as f64 / seen(&one.name).unwrap_or(mean))).collect()
+    let mean = if runs.is_empty() { 1e6 } else { runs.iter().sum::<f64>() / runs.len() as f64 };
+    cast.iter().map(|one| (one.name.clone(), one.slots.max(1) as f64 * 1e6 / seen(&one.name).unwrap_or(mean))).collect()
+}
+
+/// The share of each. While there is room the fast get more than their part: an answer comes sooner from them.
+fn parts(cans: &[crate::Part], asked: f64) -> Vec<crate::Part> {
+    let mean = cans.iter().map(|(_, can)| can).sum::<f64>() / cans.len().max(1) as f64;
+    let by = |power: f64| cans.iter().map(|(name, can)| (name.clone(), can * (can / mean).powf(power))).collect::<Vec<crate::Part>>();
+    let used = |parts: &[crate::Part]| {
+        let whole: f64 = parts.iter().map(|(_, share)| share).sum();
+        parts.iter().zip(cans).map(|((_, share), (_, can))| asked * share / whole / can).fold(0.0, f64::max)
+    };
+    let wanted = [1.0, 0.6, 0.3].into_iter().map(by).find(|parts| used(parts) < ROOM);
+    wanted.unwrap_or_else(|| by(0.0))
 }
--- a/crates/troupe/src/node.rs
+++ b/crates/troupe/src/node.rs
@@ -112,6 +112,7 @@
         core: None,
         blank: false,
         expects: None,
-        known: gallery::acquaint::list(&known),
+        // Who only asks for a run, or beats, tells nothing of the core.
+        known: if matches!(purpose, wings::Purpose::Call | wings::Purpose::Watch) { Vec::new() } else { gallery::acquaint::list(&known) },
     })
 }
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -89,8 +89,9 @@
     pub slots: u32,
     /// Mean time of a run there; 0 before any was seen.
     pub run: Micros,
-    /// Requests a second on ranges of the keys it holds.
+    /// Requests a second on ranges of the keys it holds, and how many requests say so.
     pub asked: Vec<(u16, u16, f32)>,
+    pub seen: f32,
 }
 
 /// Large parts are boxed: a frame is as long as its longest part that is not.
