--- a/crates/pit/src/buffer.rs
+++ b/crates/pit/src/buffer.rs
@@ -28,6 +28,8 @@
 
 /// Before any run was seen.
 const FIRST_GUESS: f64 = 50_000.0;
+/// So many runs make a mean.
+const MEAN_OF: u64 = 64;
 /// Over how long rates are taken.
 const RATE_OVER: f64 = 700_000.0;
 /// Ranks above are taken to use no more of the slots than this, however many came.
@@ -61,12 +63,12 @@
     pub fn ran(&mut self, took: Micros) {
         self.runs += 1;
         // The first ones count as much as each other, later ones less and less.
-        self.run += (took as f64 - self.run) / self.runs.clamp(1, 48) as f64;
+        self.run += (took as f64 - self.run) / self.runs.clamp(1, MEAN_OF) as f64;
     }
 
-    /// 0 until enough was seen to speak of a mean.
-    pub fn seen_run(&self) -> Micros {
-        if self.runs >= 8 { self.run as Micros } else { 0 }
+    /// The mean time of a run, and of how many.
+    pub fn seen_run(&self) -> (Micros, u32) {
+        (self.run as Micros, self.runs.min(MEAN_OF) as u32)
     }
 
     fn rate(&self, now: Micros, rank: u8) -> f64 {
--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -22,8 +22,8 @@
     Demand(usize, tokio::sync::oneshot::Sender<Option<Asked>>),
 }
 
-/// Slots, the mean run, the requests a second on ranges of keys, and how many requests say so.
-pub type Asked = (u32, Micros, Vec<(u16, u16, f32)>, f32);
+/// Slots, the mean run and of how many, the requests a second on ranges of keys, and how many requests say so.
+pub type Asked = (u32, (Micros, u32), Vec<(u16, u16, f32)>, f32);
 
 #[derive(Clone)]
 pub struct Pit(tokio::sync::mpsc::Sender<Command>);
@@ -150,7 +150,7 @@
     /// What a request would spend here, for those who pick: the wait, and half of a run, as a slow back end is worth
     /// leaving for a faster one only where that is near.
     fn told_wait(&self) -> Micros {
-        self.wait(u8::MAX) + self.buffer.seen_run() / 2
+        self.wait(u8::MAX) + self.buffer.seen_run().0 / 2
     }
 
     fn answer(&self, answer: Answer, outcome: Result<wings::Take, Trouble>) {
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -19,14 +19,14 @@
 const SETTLE_SOON: Micros = 350_000;
 /// How far above its share the busiest may be before keys move for it, if it is busy, and if slots stand free there.
 const UNEVEN: f64 = 0.18;
-const FAR: f64 = 0.7;
+const FAR: f64 = 1.0;
 const BUSY: f64 = 0.6;
 /// What is left alone once keys move.
 const LEFT_ALONE: f64 = 0.05;
 /// Requests, over all back ends, that speak of the load.
 const ENOUGH: f64 = 40.0;
-/// The busiest may be used so much where the fast are given more than their part.
-const ROOM: f64 = 0.65;
+/// What the mean of all counts beside a back end's own runs.
+const UNSEEN: f64 = 12.0;
 /// Stripes of the first placement.
 const STRIPES: u32 = 8;
 /// Ranges in one telling.
@@ -109,8 +109,8 @@
         let weight = |name: &str| playbill::terms::hash(&format!("{}\n{name}", self.service));
         let Some(first) = cast.iter().max_by_key(|one| weight(&one.node)) else { return };
         let Some(own) = programme.players.iter().find(|(_, player)| player.node == self.node && player.service == self.service) else { return };
-        let Some((slots, run, asked, seen)) = self.pit.asked(RANGES).await else { return };
-        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, asked, seen };
+        let Some((slots, (run, runs), asked, seen)) = self.pit.asked(RANGES).await else { return };
+        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, runs, asked, seen };
         if first.node == self.node {
             told.insert(own.0.clone(), (playbill::now(), load));
         } else {
@@ -154,43 +154,36 @@
     }
     let mut asks: Vec<crate::Ask> = told.values().flat_map(|(_, load)| load.asked.iter().map(|(from, to, rate)| (*from, *to, *rate as f64))).collect();
     asks.sort_by_key(|(from, ..)| *from);
-    let cans = cans(&cast, told);
-    let parts = parts(&cans, asks.iter().map(|(.., rate)| rate).sum());
+    let parts = parts(&cast, told);
     let seen: f64 = told.values().map(|(_, load)| load.seen as f64).sum();
+    // What few requests show may be chance.
+    let chance = 0.8 / (seen / parts.len() as f64).sqrt();
     let uneven = |since: Micros| {
         let (excess, loads) = crate::excess(rows, &asks, &parts);
-        let most = loads.iter().zip(&cans).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
-        // What few requests show may be chance; and where slots stand free anyway a move is not worth its gap.
-        let beyond = excess - 0.7 / (seen / cans.len() as f64).sqrt();
+        let most = loads.iter().zip(&parts).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
+        // Where slots stand free anyway a move is not worth its gap.
+        let beyond = excess - chance;
         since >= if beyond > 1.0 { SETTLE_SOON } else { SETTLE } && beyond > if most > BUSY { UNEVEN } else { FAR }
     };
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
         () if unused => (Why::Unused, LEFT_ALONE / 2.0),
-        () if seen > ENOUGH && since.is_some_and(uneven) => (Why::Uneven, LEFT_ALONE),
+        () if seen > ENOUGH && since.is_some_and(uneven) => (Why::Uneven, LEFT_ALONE + chance),
         () => return None,
     };
     let wanted = if *base == 0 { crate::stripes(&parts, STRIPES) } else { crate::cast(rows, &asks, &parts, slack) };
     Some((*base, wanted, why))
 }
 
-/// Requests a second that each back end can do: its slots over the mean time of its runs; who is not known yet
-/// counts as the others do.
-fn cans(cast: &[playbill::bill::Onstage], told: &Told) -> Vec<crate::Part> {
-    let seen = |name: &str| told.get(name).map(|(_, load)| load.run as f64).filter(|run| *run > 0.0);
-    let runs: Vec<f64> = cast.iter().filter_map(|one| seen(&one.name)).collect();
-    let mean = if runs.is_empty() { 1e6 } else { runs.iter().sum::<f64>() / runs.len() as f64 };
-    cast.iter().map(|one| (one.name.clone(), one.slots.max(1) as f64 * 1e6 / seen(&one.name).unwrap_or(mean))).collect()
-}
-
-/// The share of each. While there is room the fast get more than their part: an answer comes sooner from them.
-fn parts(cans: &[crate::Part], asked: f64) -> Vec<crate::Part> {
-    let mean = cans.iter().map(|(_, can)| can).sum::<f64>() / cans.len().max(1) as f64;
-    let by = |power: f64| cans.iter().map(|(name, can)| (name.clone(), can * (can / mean).powf(power))).collect::<Vec<crate::Part>>();
-    let used = |parts: &[crate::Part]| {
-        let whole: f64 = parts.iter().map(|(_, share)| share).sum();
-        parts.iter().zip(cans).map(|((_, share), (_, can))| asked * share / whole / can).fold(0.0, f64::max)
+/// Requests a second that each back end can do: its slots over the mean time of its runs. The fewer of them were
+/// seen, the more it counts as the others do.
+fn parts(cast: &[playbill::bill::Onstage], told: &Told) -> Vec<crate::Part> {
+    let seen = |name: &str| told.get(name).map(|(_, load)| (load.run as f64, load.runs as f64)).unwrap_or((0.0, 0.0));
+    let (sum, count) = cast.iter().map(|one| seen(&one.name)).fold((0.0, 0.0), |(sum, count), (run, runs)| (sum + run * runs, count + runs));
+    let mean = if count > 0.0 { sum / count } else { 1e6 };
+    let run = |name: &str| {
+        let (run, runs) = seen(name);
+        (run * runs + mean * UNSEEN) / (runs + UNSEEN)
     };
-    let wanted = [1.0, 0.6, 0.3].into_iter().map(by).find(|parts| used(parts) < ROOM);
-    wanted.unwrap_or_else(|| by(0.0))
+    cast.iter().map(|one| (one.name.clone(), one.slots.max(1) as f64 * 1e6 / run(&one.name))).collect()
 }
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -87,8 +87,9 @@
     pub service: ServiceName,
     pub back_end: BackEndName,
     pub slots: u32,
-    /// Mean time of a run there; 0 before any was seen.
+    /// Mean time of a run there, and of how many.
     pub run: Micros,
+    pub runs: u32,
     /// Requests a second on ranges of the keys it holds, and how many requests say so.
     pub asked: Vec<(u16, u16, f32)>,
     pub seen: f32,
