--- a/crates/apron/src/course.rs
+++ b/crates/apron/src/course.rs
@@ -25,8 +25,6 @@
     pub body: Vec<u8>,
     pub try_id: String,
     pub key: Option<u16>,
-    /// A back end needs the answer for a request that it is running.
-    pub inner: bool,
     /// How long the sender waits, from `at`.
     pub wait: Option<Micros>,
     pub at: Micros,
@@ -51,7 +49,6 @@
         let service = share(lane, &ask.try_id);
         let aim = if lane.aim_us == 0 { AIM } else { lane.aim_us };
         let until = ask.at + ask.wait.unwrap_or(lane.wait_us).min(lane.wait_us);
-        let aim = if ask.inner { until - ask.at } else { aim };
         // Whoever is refused hears it within a quarter of the aim, and may come again in time.
         let patience = ask.at + aim / 4;
         self.picks.earn(&service).await;
@@ -65,14 +62,11 @@
             key: None,
             left: 0,
             aim: 0,
-            // What is refused here is lost there with all the work that was done for it: it goes first, and late is not
-            // too late for it.
-            rank: if ask.inner { 0 } else { lane.rank.saturating_add(1) },
+            rank: lane.rank,
             repeatable: lane.repeatable,
         });
         let mut passed_over: Vec<String> = Vec::new();
         let mut dispatches = 0;
-        let mut latest: Option<Trouble> = None;
         loop {
             let outlook = self.outlook.load_full();
             let programme = &outlook.programme;
@@ -88,11 +82,8 @@
                 None => self.pick(programme, &service, &passed_over).await,
             };
             let Some(picked) = picked else {
-                let nobody = || Trouble::new(if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd }, "nobody can take it now").later(300_000);
-                // Those that are full will be so a moment later; who holds a key, or is there at all, may change.
-                let full = latest.as_ref().is_some_and(|trouble| trouble.cause == Cause::Overloaded);
-                if now >= patience || full {
-                    return Err(latest.unwrap_or_else(nobody));
+                if now >= patience {
+                    return Err(Trouble::new(if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd }, "nobody can take it now").later(300_000));
                 }
                 passed_over.clear();
                 tokio::time::sleep(LOOK_AGAIN).await;
@@ -121,7 +112,6 @@
             if arrived && (dispatches >= lane.dispatches || !self.picks.spend(&service).await) {
                 return Err(trouble);
             }
-            latest = Some(trouble);
         }
     }
 
--- a/crates/apron/src/front.rs
+++ b/crates/apron/src/front.rs
@@ -79,7 +79,6 @@
             method: head.method.as_str().to_string(),
             target: head.uri.path_and_query().map(|target| target.as_str().to_string()).unwrap_or_default(),
             key: said(words.key).and_then(|text| text.parse().ok()),
-            inner: words.inner_without_key && said(words.key).is_none(),
             wait: said(words.left_ms).and_then(|text| text.parse::<u64>().ok()).map(|left| left * 1_000),
             headers: headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec())).collect(),
             try_id: try_id.clone(),
@@ -111,7 +110,7 @@
             (Verdict::MayHaveRun, Cause::RanOutOfTime) => 504,
             (Verdict::MayHaveRun, _) => 502,
         };
-        slog::info!(self.apron.logger, "refused"; "try" => try_id, "status" => status, "cause" => trouble.cause.code(), "detail" => &trouble.detail);
+        slog::debug!(self.apron.logger, "refused"; "try" => try_id, "cause" => trouble.cause.code(), "detail" => &trouble.detail);
         let back = trouble.retry_after.unwrap_or(500_000);
         let builder = hyper::Response::builder().status(status).header("x-gradeford-cause", trouble.cause.code());
         let builder = if try_id.is_empty() { builder } else { builder.header(self.env.words.try_id, try_id) };
--- a/crates/lobby/src/words.rs
+++ b/crates/lobby/src/words.rs
@@ -16,8 +16,6 @@
     /// The service of the machine where the request began.
     pub caller: &'static str,
     pub key: &'static str,
-    /// Only calls that a back end makes for a request it is running come without a key.
-    pub inner_without_key: bool,
 }
 
 pub const OWN: Words = Words {
@@ -28,7 +26,6 @@
     not_run: "x-gradeford-not-run",
     caller: "x-gradeford-sender",
     key: "x-gradeford-key",
-    inner_without_key: false,
 };
 
 /// Headers that speak of one conn only, and the length, which is said anew.
