A row that comes back to its holder is owed by it no more; placements move on

Cause: a holder that lost a row and got it back before it had let go stood among those that owe the row, and nothing ever took it out. Excluded: the wait itself (the holder was granted the row), the placement's arithmetic (the property test held). Change: whoever gets a row back is taken off those that owe it; a loss after that is owed under its own position as before.

--- a/crates/playbill/src/bill/rows.rs
+++ b/crates/playbill/src/bill/rows.rs
@@ -76,14 +76,15 @@
     })
 }
 
-/// Hands rows to whom the placement names; who keeps a row keeps its fence.
+/// Hands rows to whom the placement names; who keeps a row keeps its fence. Whoever gets one back owes it to nobody: what
+/// it lost earlier it holds now.
 pub fn recast(rows: Rows, cast: &[(Key, Key, BackEndName)], position: Position) -> Rows {
     let moved = |row: Row, holder: &BackEndName| {
         if row.holder.as_ref() == Some(holder) {
             return row;
         }
         let lost = row.holder.into_iter().map(|old| (old, position));
-        Row { holder: Some(holder.clone()), fence: position, owed: row.owed.into_iter().chain(lost).collect(), ..row }
+        Row { holder: Some(holder.clone()), fence: position, owed: row.owed.into_iter().chain(lost).filter(|(owing, _)| owing != holder).collect(), ..row }
     };
     joined(within(rows, cast, &moved))
 }
--- a/crates/playbill/tests/bill/rows.rs
+++ b/crates/playbill/tests/bill/rows.rs
@@ -40,6 +40,7 @@
         match kind % 6 {
             0..=2 if inside && holder.as_deref() != Some(name) => {
                 owed.extend(holder.replace(name.into()).map(|old| (old, position)));
+                owed.retain(|(owing, _)| owing != name);
                 *at = position;
             }
             3 if inside => {
