The test of releases moves its row to a third back end at last

A row that comes back to its holder is owed by it no more, so with two back ends nothing of the earlier debt was left to tell apart. The row now ends at a third: as strict as before on releases from before the loss, and the row that came back is looked at too.

--- a/crates/playbill/tests/bill/rows.rs
+++ b/crates/playbill/tests/bill/rows.rs
@@ -95,7 +95,9 @@
     let all = |name: &str| [(0, u16::MAX, name.to_string())];
     let moved = |rows: Rows, name: &str, at: u64| rows::recast(rows, &all(name), at);
     // It lost them at 5, had them again, and lost them once more at 9.
-    let held = moved(moved(moved(moved(rows::empty(), "a", 3), "b", 5), "a", 7), "b", 9);
+    let back = moved(moved(moved(rows::empty(), "a", 3), "b", 5), "a", 7);
+    assert_eq!(back[0].owed, [("b".to_string(), 7)], "what it lost at 5 it holds again");
+    let held = moved(back, "c", 9);
     let late = rows::released(held, "a", 8, &[(0, u16::MAX, "old".into())]);
     assert_eq!(late[0].owed, [("b".to_string(), 7), ("a".to_string(), 9)], "a word from before 9 says nothing of 9");
     let now = rows::released(late, "a", 9, &[(0, u16::MAX, "new".into())]);
