Keys move for the load only when next to nothing is on its way

Cause: since placements for the load no longer waited for rows on their way. Change: no move for the load while more than a fiftieth of one back end's share, by what is asked, is on its way; 0.8 s between two.

--- a/crates/troupe/src/casting.rs
+++ b/crates/troupe/src/casting.rs
@@ -71,13 +71,16 @@
         .collect()
 }
 
-/// How far above its share the busiest back end is, as the placement stands, and what each is asked for.
-pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> (f64, Vec<f64>) {
+/// How far above its share the busiest back end is, as the placement stands, what each is asked for, and how much of
+/// all that is on its way.
+pub fn excess(rows: &Rows, asks: &[Ask], parts: &[Part]) -> (f64, Vec<f64>, f64) {
     let pieces = pieces(rows, asks, parts);
     let loads = loads(&pieces, parts.len());
     let mean = loads.iter().sum::<f64>() / parts.iter().map(|(_, can)| can).sum::<f64>();
     let most = loads.iter().zip(parts).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
-    (most / mean.max(f64::EPSILON) - 1.0, loads)
+    let moving: f64 = pieces.iter().filter(|piece| piece.moving).map(|piece| piece.weight).sum();
+    let whole = loads.iter().sum::<f64>().max(f64::EPSILON);
+    (most / mean.max(f64::EPSILON) - 1.0, loads, moving / whole)
 }
 
 fn loads(pieces: &[Piece], count: usize) -> Vec<f64> {
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -16,11 +16,14 @@
 const BELIEVED: Micros = 3_500_000;
 /// A placement for the load alone waits so long after the one before; less where the load is far from even.
 const SETTLE: Micros = 1_000_000;
-const SETTLE_SOON: Micros = 350_000;
+const SETTLE_SOON: Micros = 800_000;
 /// How far above its share the busiest may be before keys move for it, if it is busy, and if slots stand free there.
 const UNEVEN: f64 = 0.18;
 const FAR: f64 = 1.0;
 const BUSY: f64 = 0.6;
+/// Of one back end's share so much may still be on its way when keys move for the load again: what is under way is not
+/// yet seen in what is told.
+const ON_THEIR_WAY: f64 = 0.02;
 /// What is left alone once keys move.
 const LEFT_ALONE: f64 = 0.05;
 /// Requests, over all back ends, that speak of the load.
@@ -159,11 +162,13 @@
     // What few requests show may be chance.
     let chance = 0.8 / (seen / parts.len() as f64).sqrt();
     let uneven = |since: Micros| {
-        let (excess, loads) = crate::excess(rows, &asks, &parts);
+        let (excess, loads, moving) = crate::excess(rows, &asks, &parts);
         let most = loads.iter().zip(&parts).map(|(load, (_, can))| load / can).fold(0.0, f64::max);
         // Where slots stand free anyway a move is not worth its gap.
         let beyond = excess - chance;
-        since >= if beyond > 1.0 { SETTLE_SOON } else { SETTLE } && beyond > if most > BUSY { UNEVEN } else { FAR }
+        moving * parts.len() as f64 <= ON_THEIR_WAY
+            && since >= if beyond > 1.0 { SETTLE_SOON } else { SETTLE }
+            && beyond > if most > BUSY { UNEVEN } else { FAR }
     };
     let (why, slack) = match () {
         () if orphaned => (Why::Orphaned, 1.0),
--- a/crates/troupe/tests/casting.rs
+++ b/crates/troupe/tests/casting.rs
@@ -45,3 +45,15 @@
         });
     });
 }
+
+#[test]
+fn what_is_on_its_way_is_told_by_its_weight() {
+    let parts: Vec<troupe::Part> = ["a", "b"].map(|name| (name.to_string(), 1.0)).into();
+    let held = rows::recast(rows::empty(), &[(0, 32_767, "a".into()), (32_768, 65_535, "b".into())], 3);
+    let asks = [(0, 99, 50.0), (100, 32_767, 10.0), (32_768, 65_535, 40.0)];
+    let moving = |rows: &Rows| troupe::excess(rows, &asks, &parts).2;
+    assert_eq!(moving(&held), 0.0);
+    let moved = rows::recast(held, &[(0, 99, "b".into())], 5);
+    assert!((0.45..0.55).contains(&moving(&moved)), "few keys, and half of all that is asked for: {}", moving(&moved));
+    assert_eq!(moving(&rows::released(moved, "a", 5, &[(0, 99, String::new())])), 0.0, "it has come to its holder");
+}
