Nodes restarted in turn and together under live senders, by real nodes, seats and conns in a test

Cause: the planes beside the back ends had no test of whole processes with traffic. Now three seats and four nodes run over loopback, each node on a thread of its own that is dropped with it, beside made-up back ends that beat at whichever life of the node is there; eight senders give every try its own name; an operator adds a pair of routes after the other. Nodes are stopped in turn, killed together, stopped together; each life must serve before the next blow. Judged by try: none that may run once ran twice, every success is its own whole answer and ran, what got a 503 never ran, no route a node had served from is answered 404 by it later, and while nothing is killed whatever ran was answered whole.

--- /dev/null
+++ b/crates/rehearsal/tests/rolled/node.rs
@@ -0,0 +1,80 @@
+//! One life of a node on a thread of its own, as its process runs; dropped with its thread.
+
+use crate::site::Place;
+
+pub struct Running {
+    /// True: in good order.
+    orders: tokio::sync::watch::Sender<Option<bool>>,
+    ended: tokio::sync::watch::Receiver<()>,
+    outlook: gallery::SharedOutlook,
+}
+
+fn env(at: usize, life: u64, mates: String, seeds: Vec<String>) -> troupe::NodeEnv {
+    let keys = troupe::KeysEnv { bound: 9_000_000, guard: 200_000, most: 10_000_000 };
+    let (node, zone) = (format!("n{at}"), format!("z{}", at % 2));
+    troupe::NodeEnv {
+        troupe: troupe::TroupeEnv { node, zone, address: mates, life, keys, beat_every: 500_000, drain: 2_000_000, back_end: None },
+        service: crate::site::service(at),
+        seeds,
+        words: lobby::words::OWN,
+        pick: apron::PickEnv { crossing: 0, earned_of_100: 8, allowance: 1 },
+        ahead: 1,
+        ask_every: 200_000,
+        watch_every: 1_000_000,
+        watch_patience: 3_500_000,
+    }
+}
+
+/// The life before may have ended this very moment.
+async fn bind(address: &str) -> tokio::net::TcpListener {
+    loop {
+        if let Ok(listener) = tokio::net::TcpListener::bind(address).await {
+            return listener;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+impl Running {
+    pub fn start(at: usize, life: u64, place: &Place, seeds: Vec<String>) -> Running {
+        let (orders, mut ordered) = tokio::sync::watch::channel(None);
+        let (ends, ended) = tokio::sync::watch::channel(());
+        let (told, hears) = std::sync::mpsc::channel();
+        let (front, mates, beside) = (place.front.clone(), place.mates.clone(), place.beside.clone());
+        let plays = move || {
+            let _ends = ends;
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(async {
+                let (listener, outbound) = (bind(&mates).await, bind(&front).await);
+                let node = troupe::Node::start(env(at, life, mates, seeds), listener, playbill::log::quiet());
+                node.serve(outbound);
+                beside.send_replace(Some(node.troupe.clone()));
+                drop(told.send(node.following.outlook.clone()));
+                let in_order = ordered.wait_for(Option::is_some).await.is_ok_and(|ordered| *ordered == Some(true));
+                if in_order {
+                    node.stop(std::time::Duration::from_secs(120)).await;
+                }
+            });
+        };
+        std::thread::Builder::new().name(format!("node-{at}.{life}")).spawn(plays).expect("a thread");
+        Running { orders, ended, outlook: hears.recv().expect("it starts") }
+    }
+
+    pub fn leave(&self) {
+        self.orders.send_replace(Some(true));
+    }
+
+    pub fn kill(&self) {
+        self.orders.send_replace(Some(false));
+    }
+
+    pub async fn gone(&self) {
+        let mut ended = self.ended.clone();
+        while ended.changed().await.is_ok() {}
+    }
+
+    /// Up to where it believes the bill.
+    pub fn position(&self) -> u64 {
+        self.outlook.load().programme.position
+    }
+}
