--- a/crates/rehearsal/src/sim/check.rs
+++ b/crates/rehearsal/src/sim/check.rs
@@ -36,17 +36,17 @@
         self.submitted.values_mut().filter(|(held, _)| *held == seat).for_each(|(_, at)| *at = now.max(*at) + 3_600_000_000);
     }
 
-    /// A read must see at least what had been answered when it was asked.
+    /// A read must see at least what any seat had applied when it was asked: that may have been told (design 11.6).
     pub fn read_asked(&mut self, token: u64) {
-        self.asked.insert(token, self.answered.last_key_value().map(|(at, _)| *at));
+        self.asked.insert(token, self.chosen.last_key_value().map(|(at, _)| *at));
     }
 
     pub fn read_done(&mut self, token: u64, applied: u64) {
         self.reads_done += 1;
-        if let Some(Some(answered)) = self.asked.remove(&token)
-            && applied <= answered
+        if let Some(Some(told)) = self.asked.remove(&token)
+            && applied <= told
         {
-            self.broken.push(format!("read {token} was proved at {applied} though {answered} had been answered"));
+            self.broken.push(format!("read {token} was proved at {applied} though {told} had been applied before it"));
         }
     }
 
