--- a/crates/pit/src/lib.rs
+++ b/crates/pit/src/lib.rs
@@ -7,6 +7,7 @@
 mod desk;
 mod door;
 mod local;
+pub mod runs;
 
 pub use buffer::{Buffer, Waiting};
 pub use demand::Demand;
