--- a/crates/apron/src/course.rs
+++ b/crates/apron/src/course.rs
@@ -49,13 +49,8 @@
         let service = share(lane, &ask.try_id);
         let aim = if lane.aim_us == 0 { AIM } else { lane.aim_us };
         let until = ask.at + ask.wait.unwrap_or(lane.wait_us).min(lane.wait_us);
-        let for_a_run = match pit::runs::parent(&ask.try_id) {
-            Some(parent) => self.pit.rank_of_call(parent).await,
-            None => None,
-        };
-        // Whoever is refused hears it within a quarter of the aim, and may come again in time. A call for a run is not asked
-        // again, and the run ends with it: late is better than not at all.
-        let (aim, patience) = if for_a_run.is_some() { (until - ask.at, ask.at + (until - ask.at) / 3) } else { (aim, ask.at + aim / 4) };
+        // Whoever is refused hears it within a quarter of the aim, and may come again in time.
+        let patience = ask.at + aim / 4;
         self.picks.earn(&service).await;
         let mut cue = Box::new(wings::Cue {
             back_end: String::new(),
@@ -67,12 +62,11 @@
             key: None,
             left: 0,
             aim: 0,
-            rank: for_a_run.unwrap_or(pit::runs::rank(lane.rank)),
+            rank: lane.rank,
             repeatable: lane.repeatable,
         });
         let mut passed_over: Vec<String> = Vec::new();
         let mut dispatches = 0;
-        let mut latest: Option<Trouble> = None;
         loop {
             let outlook = self.outlook.load_full();
             let programme = &outlook.programme;
@@ -89,10 +83,7 @@
             };
             let Some(picked) = picked else {
                 if now >= patience {
-                    let nobody = if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd };
-                    // Those that are there and full say when to come back.
-                    let full = latest.filter(|trouble: &Trouble| trouble.cause == Cause::Overloaded);
-                    return Err(full.unwrap_or_else(|| Trouble::new(nobody, "nobody can take it now").later(300_000)));
+                    return Err(Trouble::new(if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd }, "nobody can take it now").later(300_000));
                 }
                 passed_over.clear();
                 tokio::time::sleep(LOOK_AGAIN).await;
@@ -121,7 +112,6 @@
             if arrived && (dispatches >= lane.dispatches || !self.picks.spend(&service).await) {
                 return Err(trouble);
             }
-            latest = Some(trouble);
         }
     }
 
--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -15,8 +15,7 @@
 
 enum Command {
     Enter(Box<wings::Cue>, Micros, Answer),
-    Ended { try_id: String, began: Micros, ran: bool },
-    RankOfCall(String, tokio::sync::oneshot::Sender<Option<u8>>),
+    Ended { began: Micros, ran: bool },
     Local(Option<Local>),
     Leave,
     Load(tokio::sync::oneshot::Sender<(usize, usize)>),
@@ -37,7 +36,6 @@
     buffer: Buffer<(Box<wings::Cue>, Answer)>,
     demand: crate::Demand,
     running: usize,
-    runs: crate::runs::Runs,
     leaving: bool,
 }
 
@@ -50,17 +48,8 @@
     pub fn start(env: PitEnv) -> Pit {
         let (commands, mut buffer) = tokio::sync::mpsc::channel(4_096);
         let door = std::sync::Arc::new(crate::Door::new(env.words.clone()));
-        let mut owner = Owner {
-            env,
-            commands: commands.clone(),
-            door,
-            local: None,
-            buffer: Default::default(),
-            demand: Default::default(),
-            running: 0,
-            runs: Default::default(),
-            leaving: false,
-        };
+        let mut owner =
+            Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), demand: Default::default(), running: 0, leaving: false };
         tokio::spawn(async move {
             loop {
                 let waits = !owner.buffer.is_empty();
@@ -103,13 +92,6 @@
         asked.await.ok().flatten()
     }
 
-    /// What a call ranks that the back end makes for a run under way; none if that does not run here.
-    pub async fn rank_of_call(&self, parent: &str) -> Option<u8> {
-        let (answer, rank) = tokio::sync::oneshot::channel();
-        self.0.send(Command::RankOfCall(parent.to_string(), answer)).await.ok()?;
-        rank.await.ok().flatten()
-    }
-
     /// Running and waiting.
     pub async fn load(&self) -> (usize, usize) {
         let (answer, load) = tokio::sync::oneshot::channel();
@@ -122,10 +104,8 @@
     fn take(&mut self, command: Command) {
         match command {
             Command::Enter(cue, until, answer) => self.enter(cue, until, answer),
-            Command::RankOfCall(parent, answer) => drop(answer.send(self.runs.rank_of_call(&parent))),
-            Command::Ended { try_id, began, ran } => {
+            Command::Ended { began, ran } => {
                 self.running -= 1;
-                self.runs.ended(&try_id);
                 if ran {
                     self.buffer.ran(playbill::now() - began);
                 }
@@ -215,15 +195,12 @@
     fn run(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
         let Some(address) = self.local.as_ref().map(|local| local.address.clone()) else { return };
         self.running += 1;
-        let named = cue.headers.iter().find(|(name, _)| name == self.env.words.try_id);
-        let try_id = named.map(|(_, value)| String::from_utf8_lossy(value).into_owned()).unwrap_or_default();
-        self.runs.begins(try_id.clone(), cue.rank);
         let (door, commands, wait, began) = (self.door.clone(), self.commands.clone(), self.told_wait(), playbill::now());
         tokio::spawn(async move {
             let left = until.saturating_sub(began);
             let ran = tokio::time::timeout(std::time::Duration::from_micros(left), door.pass(&address, &cue, left)).await;
             let outcome = ran.unwrap_or_else(|_| Err(Trouble::new(Cause::RanOutOfTime, "no answer within the wait")));
-            drop(commands.send(Command::Ended { try_id, began, ran: outcome.is_ok() }).await);
+            drop(commands.send(Command::Ended { began, ran: outcome.is_ok() }).await);
             drop(answer.send((outcome, wait)));
         });
     }
--- a/crates/pit/src/lib.rs
+++ b/crates/pit/src/lib.rs
@@ -7,7 +7,6 @@
 mod desk;
 mod door;
 mod local;
-pub mod runs;
 
 pub use buffer::{Buffer, Waiting};
 pub use demand::Demand;
