The ring is made only for other places, and in one pass

Cause: each node looked at its ring twice a second and each look copied all places, named them by a digest and sorted them twice, though places change a few times an hour.

Change: gallery::ring::Stand holds the places it was made for and makes the ring anew only when the programme holds others (it keeps them, so that an address in memory is never met again). One sort with each name's digest taken once gives both directions.

Counts: a hundred looks at the same places make one ring instead of two hundred.

--- a/crates/gallery/src/ring.rs
+++ b/crates/gallery/src/ring.rs
@@ -31,6 +31,36 @@
     named.filter_map(|ward| nodes.get(&ward).map(|node| (ward.clone(), node.incarnation))).collect()
 }
 
+pub type Ward = (NodeName, Incarnation);
+
+/// Where one node stands on the ring: what follows from the places, made anew only when these are others.
+#[derive(Default)]
+pub struct Stand {
+    places: Option<std::sync::Arc<playbill::bill::cast::Places>>,
+    /// Addresses of those it beats to.
+    pub watchers: std::collections::BTreeSet<String>,
+    /// Those that beat to it.
+    pub wards: std::collections::BTreeSet<Ward>,
+    /// How often the ring was made.
+    pub made: u64,
+}
+
+impl Stand {
+    pub fn look(&mut self, places: &std::sync::Arc<playbill::bill::cast::Places>, name: &str) {
+        if self.places.as_ref().is_some_and(|held| std::sync::Arc::ptr_eq(held, places)) {
+            return;
+        }
+        (self.places, self.made) = (Some(places.clone()), self.made + 1);
+        let mut ring: Vec<(&NodeName, &playbill::bill::Place)> = places.iter().filter(|(_, place)| place.present).collect();
+        ring.sort_by_cached_key(|(name, _)| (playbill::terms::hash(name), *name));
+        let at = ring.iter().position(|(held, _)| *held == name);
+        let beside = |step: usize| at.map(|at| ring[(at + step) % ring.len()]);
+        let steps = 1..=WATCHERS.min(ring.len().saturating_sub(1));
+        self.watchers = steps.clone().filter_map(beside).map(|(_, place)| place.address.clone()).collect();
+        self.wards = steps.filter_map(|step| beside(ring.len() - step)).map(|(name, place)| (name.clone(), place.life)).collect();
+    }
+}
+
 #[derive(Default)]
 pub struct Watch {
     /// Ward and life to when it was last heard, and whether it was reported missing.
@@ -46,11 +76,14 @@
     }
 
     pub fn tick(&mut self, now: Micros, nodes: &Nodes, name: &str, patience: Micros) -> Vec<Report> {
+        self.look(now, &wards(nodes, name).into_iter().collect(), name, patience)
+    }
+
+    pub fn look(&mut self, now: Micros, wards: &std::collections::BTreeSet<Ward>, name: &str, patience: Micros) -> Vec<Report> {
         let paused = now.saturating_sub(std::mem::replace(&mut self.ticked, now)) > patience / 2;
-        let wards: std::collections::BTreeSet<_> = wards(nodes, name).into_iter().collect();
         self.table.retain(|ward, _| wards.contains(ward));
-        wards.into_iter().for_each(|ward| {
-            self.table.entry(ward).or_insert((now, false));
+        wards.iter().filter(|ward| !self.table.contains_key(*ward)).cloned().collect::<Vec<_>>().into_iter().for_each(|ward| {
+            self.table.insert(ward, (now, false));
         });
         if paused {
             // It was this node that stood still.
@@ -89,6 +122,34 @@
         });
     }
 
+    #[test]
+    fn the_ring_is_made_only_for_other_places_and_says_what_both_directions_say() {
+        let place = |at: u64| playbill::bill::Place {
+            zone: "z".into(),
+            address: format!("a{at}"),
+            life: at,
+            present: at % 7 != 3,
+            missed_by: Default::default(),
+            since: 0,
+        };
+        [1, 2, 3, 5, 64].into_iter().for_each(|count| {
+            let places: playbill::bill::cast::Places = (0..count).map(|at| (format!("n{at}"), place(at))).collect();
+            let nodes: Nodes = nodes(count).into_iter().map(|(name, node)| (name, playbill::Node { present: node.incarnation % 7 != 3, ..node })).collect();
+            let places = std::sync::Arc::new(places);
+            places.keys().for_each(|name| {
+                let mut stand = Stand::default();
+                (0..100).for_each(|_| stand.look(&places, name));
+                assert_eq!(stand.made, 1, "a hundred looks at the same places");
+                assert_eq!(stand.watchers, watchers(&nodes, name).into_iter().map(|watcher| places[&watcher].address.clone()).collect());
+                assert_eq!(stand.wards, wards(&nodes, name).into_iter().collect());
+            });
+            let mut stand = Stand::default();
+            let other = std::sync::Arc::new(playbill::bill::cast::Places::clone(&places));
+            [&places, &other, &places].into_iter().for_each(|places| stand.look(places, "n0"));
+            assert_eq!(stand.made, 3);
+        });
+    }
+
     #[test]
     fn silence_is_reported_once_and_taken_back_but_an_own_pause_blames_nobody() {
         let nodes = nodes(2);
--- a/crates/rehearsal/src/hollow/events.rs
+++ b/crates/rehearsal/src/hollow/events.rs
@@ -107,24 +107,14 @@
     let rows = bill.castings.values().next().map(|held| held.1.clone()).unwrap_or_default();
     let parts: Vec<troupe::Part> = rows.iter().filter_map(|row| row.holder.clone()).map(|name| (name, 8.0)).collect();
     let away = bill.places.iter().map(|(name, place)| (format!("{name}.old"), playbill::bill::Place { present: false, ..place.clone() }));
-    let twice: playbill::bill::cast::Places = bill.places.clone().into_iter().chain(away).collect();
+    let twice = std::sync::Arc::new(bill.places.clone().into_iter().chain(away).collect());
+    let (places, mut stand) = (std::sync::Arc::new(bill.places.clone()), gallery::ring::Stand::default());
     let times = (20_000 / plan.nodes as u32).max(5);
     std::collections::BTreeMap::from([
         // What a node does twice a second (crates/troupe/src/watch.rs).
-        (
-            "ring tick",
-            timed(times, || {
-                let nodes = ring(&bill.places);
-                std::hint::black_box((gallery::ring::watchers(&nodes, "n0"), gallery::ring::wards(&nodes, "n0")));
-            }),
-        ),
-        (
-            "ring tick, twice the names",
-            timed(times, || {
-                let nodes = ring(&twice);
-                std::hint::black_box((gallery::ring::watchers(&nodes, "n0"), gallery::ring::wards(&nodes, "n0")));
-            }),
-        ),
+        ("ring tick", timed(20_000, || stand.look(&places, "n0"))),
+        ("ring made", timed(times, || gallery::ring::Stand::default().look(&places, "n0"))),
+        ("ring made, twice the names", timed(times, || gallery::ring::Stand::default().look(&twice, "n0"))),
         ("told of a place", timed(times, || drop(std::hint::black_box(whole.told(false, 9, place.iter().cloned().collect()))))),
         ("told of a lane", timed(times, || drop(std::hint::black_box(whole.told(false, 9, vec![lane.clone()]))))),
         ("told the whole", timed(5, || drop(std::hint::black_box(Programme::default().told(true, 9, bill.whole()))))),
--- a/crates/troupe/src/watch.rs
+++ b/crates/troupe/src/watch.rs
@@ -2,18 +2,6 @@
 
 use playbill::bill::Report;
 
-fn ring(programme: &playbill::bill::Programme) -> std::collections::BTreeMap<String, playbill::Node> {
-    let node = |place: &playbill::bill::Place| playbill::Node {
-        zone: place.zone.clone(),
-        address: place.address.clone(),
-        incarnation: place.life,
-        present: place.present,
-        reporters: Default::default(),
-        since: place.since,
-    };
-    programme.places.iter().map(|(name, place)| (name.clone(), node(place))).collect()
-}
-
 pub struct WatchEnv {
     pub node: String,
     pub beat_every: playbill::Micros,
@@ -28,7 +16,7 @@
 ) -> apron::Heard {
     let (heard, mut hears) = tokio::sync::mpsc::channel::<(String, u64)>(1_024);
     tokio::spawn(async move {
-        let mut watch = gallery::ring::Watch::default();
+        let (mut watch, mut stand) = (gallery::ring::Watch::default(), gallery::ring::Stand::default());
         let mut lines: std::collections::BTreeMap<String, tokio::sync::mpsc::Sender<wings::Frame>> = Default::default();
         let mut every = tokio::time::interval(std::time::Duration::from_micros(env.beat_every));
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -39,18 +27,16 @@
                     None => return,
                 },
                 _ = every.tick() => {
-                    let nodes = ring(&outlook.load().programme);
-                    let named = gallery::ring::watchers(&nodes, &env.node).into_iter();
-                    let addresses: std::collections::BTreeSet<String> = named.filter_map(|watcher| nodes.get(&watcher).map(|node| node.address.clone())).collect();
-                    lines.retain(|address, line| addresses.contains(address) && line.try_send(wings::Frame::Beat).is_ok());
-                    addresses.into_iter().filter(|address| !lines.contains_key(address)).collect::<Vec<_>>().into_iter().for_each(|address| {
+                    stand.look(&outlook.load().programme.places, &env.node);
+                    lines.retain(|address, line| stand.watchers.contains(address) && line.try_send(wings::Frame::Beat).is_ok());
+                    stand.watchers.iter().filter(|address| !lines.contains_key(*address)).cloned().collect::<Vec<_>>().into_iter().for_each(|address| {
                         let (line, beats) = tokio::sync::mpsc::channel(4);
                         lines.insert(address.clone(), line);
                         tokio::spawn(carry(address, (greet)(wings::Purpose::Watch), beats));
                     });
                     // A node that hears no proof is cut off itself and blames nobody; the pause then forgives all.
                     let proved = outlook.load().proved + env.patience * 2 / 3 > playbill::now();
-                    let missed = if proved { watch.tick(playbill::now(), &nodes, &env.node, env.patience) } else { Vec::new() };
+                    let missed = if proved { watch.look(playbill::now(), &stand.wards, &env.node, env.patience) } else { Vec::new() };
                     let told: Vec<Report> = missed.into_iter().filter_map(|report| match report {
                         playbill::standing::Report::Watch { watcher, node, incarnation, missed } => Some(Report::Watch { watcher, node, life: incarnation, missed }),
                         _ => None,
