Only casts of services that are told of are made anew

Change: Programme::told gathers the services of the back ends and nodes that the changes name, before and after, and makes only their casts.

Seen failing first: of 20 services all 20 were made anew for one node; now its one. A back end that moved makes the service it left and the one it came to.

--- a/crates/playbill/src/bill/delta.rs
+++ b/crates/playbill/src/bill/delta.rs
@@ -67,16 +67,29 @@
     /// The whole of what a follower was told, or what changed since what it holds.
     pub fn told(&self, afresh: bool, position: Position, deltas: Vec<Delta>) -> Programme {
         let base = if afresh { Programme::default() } else { self.clone() };
-        let moves = deltas.iter().any(|delta| matches!(delta, Delta::Player(..) | Delta::Place(..)));
+        let names = |delta: &Delta| if let Delta::Player(name, _) = delta { Some(name.clone()) } else { None };
+        let nodes = |delta: &Delta| if let Delta::Place(node, _) = delta { Some(node.clone()) } else { None };
+        let names: std::collections::HashSet<BackEndName> = deltas.iter().filter_map(names).collect();
+        let nodes: std::collections::HashSet<NodeName> = deltas.iter().filter_map(nodes).collect();
+        // Of a back end that was told of, both the service it left and the one it came to.
+        let touched = |programme: &Programme| -> Vec<ServiceName> {
+            let told = programme.players.iter().filter(|(name, player)| names.contains(*name) || nodes.contains(&player.node));
+            told.map(|(_, player)| player.service.clone()).collect()
+        };
+        let before = if afresh || names.is_empty() { Vec::new() } else { touched(&base) };
         let mut next = deltas.into_iter().fold(base, Programme::with);
-        if moves {
-            next.cast = Shared::new(next.onstage());
+        if !names.is_empty() || !nodes.is_empty() {
+            let touched: std::collections::HashSet<ServiceName> = before.into_iter().chain(touched(&next)).collect();
+            let casts = next.onstage(&touched);
+            let cast = Shared::make_mut(&mut next.cast);
+            cast.retain(|service, _| !touched.contains(service));
+            cast.extend(casts);
         }
         Programme { position, ..next }
     }
 
-    fn onstage(&self) -> std::collections::HashMap<ServiceName, Shared<Vec<Onstage>>> {
-        let working = self.players.iter().filter(|(_, player)| self.takes_work(player));
+    fn onstage(&self, services: &std::collections::HashSet<ServiceName>) -> std::collections::HashMap<ServiceName, Shared<Vec<Onstage>>> {
+        let working = self.players.iter().filter(|(_, player)| services.contains(&player.service) && self.takes_work(player));
         let placed = working.filter_map(|(name, player)| self.placed(name, player).map(|placed| (player.service.clone(), placed)));
         let by_service = placed.fold(std::collections::HashMap::<ServiceName, Vec<Onstage>>::new(), |mut cast, (service, placed)| {
             cast.entry(service).or_default().push(placed);
--- a/crates/playbill/tests/bill/programme.rs
+++ b/crates/playbill/tests/bill/programme.rs
@@ -83,6 +83,31 @@
     assert_eq!(whole(&bill).lane("fair", "/book/").map(|item| item.0.clone()), None);
 }
 
+#[test]
+fn the_cast_of_a_service_is_made_anew_only_when_one_of_its_back_ends_is_told_of() {
+    let services = 20;
+    let name = |at: usize| format!("player-{at}");
+    let node = |at: usize, life: u64| Report::Node { node: format!("node-{at}"), zone: "z0".into(), address: format!("address-{at}"), life };
+    let joined = |at: usize| Report::Joined { name: name(at), player: player(&format!("service-{}", at % services), &format!("node-{at}")) };
+    let mut bill = Bill::default();
+    (0..100).for_each(|at| drop(tell(&mut bill, vec![node(at, 1), joined(at)])));
+    let mut held = whole(&bill);
+    let mut made_by = |report: Report| {
+        let deltas = tell(&mut bill, vec![report]);
+        let next = held.told(false, bill.position, deltas);
+        let before = std::mem::replace(&mut held, next);
+        assert_eq!(held, whole(&bill));
+        let made = |at: &usize| !std::sync::Arc::ptr_eq(&before.cast(&format!("service-{at}")), &held.cast(&format!("service-{at}")));
+        (0..services).filter(made).collect::<Vec<_>>()
+    };
+    assert_eq!(made_by(node(7, 2)), [7], "a node that came again");
+    assert_eq!(made_by(Report::Draining { name: name(48) }), [8]);
+    assert_eq!(made_by(Report::Ended { name: name(48), surely: true }), [8]);
+    let moved = Report::Joined { name: name(11), player: player("service-2", "node-11") };
+    assert_eq!(made_by(moved), [2, 11], "the one it left and the one it came to");
+    assert_eq!(made_by(Report::Node { node: "node-new".into(), zone: "z0".into(), address: "new".into(), life: 1 }), [0; 0]);
+}
+
 #[test]
 fn only_back_ends_that_take_work_beside_nodes_that_are_there_are_offered() {
     let mut bill = site();
