Names that were away for long are forgotten

Change (design 11.7): each 256th position the log lets go of back ends that no row of keys holds or owes, beside nodes absent for over 4,096 positions, and of such nodes once no back end is left there. Followers hear it as any other change. Rows are not touched: what is owed stays by name until it is waited out. Who was only cut off says where it is and what is beside it, as it does at any start.

Weighed: a word of the watchers or of the placing duty (a clock's word, from whoever is there, and two entries more for each name); positions need no clock and bound the names by themselves, as each new one takes two entries at least.

Changes and the whole give the same. Not measured: seats of two versions at once, which would differ in the bill.

--- a/crates/playbill/src/bill/cast.rs
+++ b/crates/playbill/src/bill/cast.rs
@@ -95,3 +95,19 @@
     }
     changed
 }
+
+/// An absent node is kept for so many positions.
+const AWAY_KEPT: Position = 4_096;
+
+type Names = std::collections::BTreeSet<String>;
+
+/// Who was away for long: back ends beside nodes that are, unless a row of keys names them, and such nodes with no
+/// back end left (design 11.7).
+pub(crate) fn away(players: &Players, places: &Places, named: &std::collections::HashSet<&BackEndName>, next: Position) -> (Names, Names) {
+    let long = |since: Position| since + AWAY_KEPT < next;
+    let gone = |node: &str| places.get(node).is_none_or(|held| !held.present && long(held.since));
+    let (leave, stay): (Vec<_>, Vec<_>) = players.iter().partition(|(name, player)| long(player.since) && gone(&player.node) && !named.contains(name));
+    let beside: std::collections::HashSet<&NodeName> = stay.into_iter().map(|(_, player)| &player.node).collect();
+    let nodes = places.keys().filter(|node| gone(node) && !beside.contains(node)).cloned().collect();
+    (leave.into_iter().map(|(name, _)| name.clone()).collect(), nodes)
+}
--- a/crates/playbill/src/bill/mod.rs
+++ b/crates/playbill/src/bill/mod.rs
@@ -49,12 +49,13 @@
                     return (Outcome::Unchanged { position: self.position }, Vec::new());
                 }
                 let next = self.position + 1;
-                let deltas: Vec<Delta> = reports.into_iter().flat_map(|report| self.stand(report, next)).collect();
+                let mut deltas: Vec<Delta> = reports.into_iter().flat_map(|report| self.stand(report, next)).collect();
                 self.origins.insert(origin.to_string(), (life, sequence, next));
                 self.forget(next);
                 if deltas.is_empty() {
                     return (Outcome::Unchanged { position: self.position }, deltas);
                 }
+                deltas.extend(self.names_go(next));
                 self.position = next;
                 (Outcome::Accepted { position: next, version: 0 }, deltas)
             }
@@ -173,6 +174,21 @@
         }
     }
 
+    /// Names that were away for long are forgotten (design 11.7).
+    fn names_go(&mut self, next: Position) -> Vec<Delta> {
+        if !next.is_multiple_of(256) {
+            return Vec::new();
+        }
+        let rows = self.castings.values().flat_map(|(_, rows)| rows);
+        let named = rows.flat_map(|row| row.holder.iter().chain(row.owed.iter().map(|(name, _)| name))).collect();
+        let (players, places) = cast::away(&self.players, &self.places, &named, next);
+        self.players.retain(|name, _| !players.contains(name));
+        self.places.retain(|node, _| !places.contains(node));
+        self.places.values_mut().filter(|held| held.present).for_each(|held| held.missed_by.retain(|watcher| !places.contains(watcher)));
+        let players = players.iter().flat_map(|name| self.told_player(name));
+        players.chain(places.iter().flat_map(|node| self.told_place(node))).collect()
+    }
+
     /// All that stands, as changes from nothing.
     pub fn whole(&self) -> Vec<Delta> {
         let items = self.items.iter().filter(|(_, item)| item.body.is_some());
--- a/crates/playbill/tests/bill/players.rs
+++ b/crates/playbill/tests/bill/players.rs
@@ -93,3 +93,76 @@
     tell(&mut bill, vec![joined("c"), recast(base, &all("c"))]);
     assert_eq!(row(&bill).owed.len(), 1);
 }
+
+fn node(name: &str, life: u64) -> Report {
+    Report::Node { node: name.into(), zone: "z0".into(), address: format!("{name}:1"), life }
+}
+
+fn missed(node: &str) -> [Report; 2] {
+    ["keeper-0", "keeper-1"].map(|watcher| Report::Watch { watcher: watcher.into(), node: node.into(), life: 1, missed: true })
+}
+
+/// So many entries that speak of nobody here.
+fn pass(bill: &mut Bill, count: u64) {
+    (0..count).for_each(|turn| drop(tell(bill, vec![Report::Silent { name: "keeper".into(), silent: turn % 2 == 0 }])));
+}
+
+fn kept() -> Bill {
+    let mut bill = site();
+    let keeper = Report::Joined { name: "keeper".into(), player: player("seat", "keeper-0") };
+    tell(&mut bill, vec![node("keeper-0", 1), node("keeper-1", 1), node("keeper-2", 1), keeper]);
+    bill
+}
+
+#[test]
+fn machines_replaced_under_new_names_do_not_fill_the_bill() {
+    let mut bill = kept();
+    let mut follower = playbill::bill::Programme::default().told(true, bill.position, bill.whole());
+    let most = (0..3_000).map(|turn| {
+        let (name, before) = (format!("{turn}"), turn - 1);
+        let joined = Report::Joined { name: name.clone(), player: player("seat", &name) };
+        let told = [vec![node(&name, 1), joined], missed(&format!("{before}")).to_vec()].map(|reports| tell(&mut bill, reports));
+        follower = follower.told(false, bill.position, told.concat());
+        bill.places.len().max(bill.players.len())
+    });
+    // Each took two entries, and one is away for at most some 4,096 of them.
+    let most = most.max();
+    assert!(most.is_some_and(|most| most < 2_200), "{most:?} names");
+    assert_eq!(follower, playbill::bill::Programme::default().told(true, bill.position, bill.whole()), "followers forget the same names");
+    assert!(bill.to_bytes().len() < 1_000_000);
+}
+
+#[test]
+fn who_holds_or_owes_keys_is_not_forgotten_and_what_it_owes_stays_until_it_is_waited_out() {
+    let mut bill = kept();
+    tell(&mut bill, vec![node("node-a", 1), node("node-b", 1), joined("a"), joined("b"), recast(0, &[(0, u16::MAX, "a")])]);
+    tell(&mut bill, missed("node-a").to_vec());
+    pass(&mut bill, 10_000);
+    assert!(bill.players.contains_key("a") && bill.places.contains_key("node-a"), "it holds keys");
+    let base = bill.castings["seat"].0;
+    tell(&mut bill, vec![recast(base, &[(0, u16::MAX, "b")])]);
+    pass(&mut bill, 10_000);
+    let row = bill.castings["seat"].1[0].clone();
+    assert_eq!(row.owed.iter().map(|(name, _)| name.as_str()).collect::<Vec<_>>(), ["a"]);
+    assert!(bill.players.contains_key("a") && bill.places.contains_key("node-a"), "it may still hold what it owes");
+    tell(&mut bill, vec![Report::Settled { service: "seat".into(), rows: vec![(0, u16::MAX, row.fence)] }]);
+    pass(&mut bill, 600);
+    assert!(!bill.players.contains_key("a") && !bill.places.contains_key("node-a"), "nothing is left to wait for");
+}
+
+#[test]
+fn who_was_only_cut_off_says_so_and_stands_there_again() {
+    let mut bill = kept();
+    tell(&mut bill, vec![node("node-a", 1), joined("a")]);
+    tell(&mut bill, missed("node-a").to_vec());
+    pass(&mut bill, 4_000);
+    assert!(bill.places.contains_key("node-a"), "not for so short a time");
+    pass(&mut bill, 1_000);
+    assert!(!bill.places.contains_key("node-a") && !bill.players.contains_key("a"));
+    tell(&mut bill, vec![node("node-a", 1), joined("a")]);
+    assert!(bill.places["node-a"].present && bill.players["a"].phase == Phase::Registered);
+    assert!(bill.places["node-a"].missed_by.is_empty());
+    // Nodes that are there stay, however long nothing is said of them.
+    pass(&mut bill, 10_000);
+    assert!(bill.places.contains_key("node-a") && bill.players.contains_key("a"));
+}
