--- a/crates/gallery/src/core_owner.rs
+++ b/crates/gallery/src/core_owner.rs
@@ -164,12 +164,21 @@
             }
             Command::Follow(held, sender) => self.bill.follow(held, sender),
             Command::Ask(number, sender) => {
-                self.read_tokens += 1;
-                self.bill.asked(self.read_tokens, number, sender);
-                self.step(now, repertory::Input::Read(self.read_tokens));
+                self.bill.asked(number, sender);
+                self.prove(now);
             }
             Command::Items(answer) => drop(answer.send(self.bill.items())),
-            Command::Tick => self.step(now, repertory::Input::Tick),
+            Command::Tick => {
+                self.prove(now);
+                self.step(now, repertory::Input::Tick);
+            }
+        }
+    }
+
+    fn prove(&mut self, now: playbill::Micros) {
+        if self.bill.round(now, self.read_tokens + 1) {
+            self.read_tokens += 1;
+            self.step(now, repertory::Input::Read(self.read_tokens));
         }
     }
 
