A node that starts again serves the back end the log has, before it beats

The log it follows names that back end. Excluded: the core (votes 10 ms after its start), the way to it (followed within 40 ms, proved within 0.3 s), key moves (two placements in the window, as before it). Now the one registered back end that the log has beside the node is served from the first news on, until three beats have passed without one; rows that somebody else may still hold are not counted as its own. The back end itself turns away what was meant for another life or keys it does not hold.

--- a/crates/troupe/src/desk.rs
+++ b/crates/troupe/src/desk.rs
@@ -173,8 +173,8 @@
 
     /// The back end as the owner of its slots has to know it.
     fn local(&self) -> Option<pit::Local> {
-        let own = self.own.as_ref()?;
         let programme = self.outlook.load().programme.clone();
+        let Some(own) = self.own.as_ref() else { return self.recalled(&programme) };
         let keyed = programme.services.get(&own.beat.service).is_some_and(|service| service.keyed);
         let rows = || own.beat.holds.iter().map(|(from, to, _)| (*from, *to)).collect();
         let margin = self.env.beat_every / 8;
@@ -187,6 +187,14 @@
         })
     }
 
+    /// Until a beat could not but have come, if it were there.
+    fn recalled(&self, programme: &playbill::bill::Programme) -> Option<pit::Local> {
+        let until = self.began + self.env.beat_every * crate::facts::MISSED;
+        let address = self.env.back_end.as_deref().filter(|_| playbill::now() < until)?;
+        crate::recalled::recalled(programme, &self.env.node, address, until)
+            .filter(|local| !self.over.contains(&local.name) && !self.ends.contains_key(&local.name))
+    }
+
     pub(crate) fn player(&self, own: &Own) -> Player {
         let beat = &own.beat;
         let phase = if own.drained.is_some() { playbill::Phase::Draining } else { playbill::Phase::Registered };
--- a/crates/troupe/src/facts.rs
+++ b/crates/troupe/src/facts.rs
@@ -4,7 +4,7 @@
 use playbill::bill::Report;
 
 /// Beats that may be missed before the back end is taken for silent.
-const MISSED: u64 = 3;
+pub(crate) const MISSED: u64 = 3;
 
 impl Owner {
     /// All that differs between what is so here and what the log says, as reports.
--- a/crates/troupe/src/lib.rs
+++ b/crates/troupe/src/lib.rs
@@ -7,6 +7,7 @@
 mod facts;
 mod keys;
 mod node;
+mod recalled;
 mod watch;
 
 pub use casting::{Ask, Cast, Part, cast, excess, stripes};
