A node told to go serves on until its senders have heard that it is not ready

Excluded: the back ends (they had ended in order seconds before), keys (placed anew at 25 s), the core (all killed at 31.9 s, served without it). Red before: the test's ask found no conn.

--- a/crates/rehearsal/src/hollow/node.rs
+++ b/crates/rehearsal/src/hollow/node.rs
@@ -86,7 +86,7 @@
             };
             acts.await;
             if let Part::Whole(node, ..) = &part {
-                node.stop(std::time::Duration::from_millis(500)).await;
+                node.stop(std::time::Duration::ZERO, std::time::Duration::from_millis(500)).await;
             }
         });
     };
--- a/crates/troupe/src/node.rs
+++ b/crates/troupe/src/node.rs
@@ -21,6 +21,8 @@
     pub known: gallery::Known,
     pit: pit::Pit,
     calls: apron::Calls,
+    /// Told from outside that it is to go: no longer ready, though it serves on for a while.
+    told_off: std::sync::atomic::AtomicBool,
     leaving: tokio::sync::watch::Sender<bool>,
 }
 
@@ -71,7 +73,7 @@
             logger,
         };
         let front = apron::Front { env: apron::FrontEnv { words: env.words }, apron };
-        Node { troupe, front, following, known, pit, calls, leaving: tokio::sync::watch::Sender::new(false) }
+        Node { troupe, front, following, known, pit, calls, told_off: Default::default(), leaving: tokio::sync::watch::Sender::new(false) }
     }
 
     pub fn serve(&self, listener: tokio::net::TcpListener) {
@@ -81,11 +83,14 @@
     /// Knows what is to be served, and is not on its way out.
     pub fn ready(&self) -> bool {
         let outlook = self.following.outlook.load();
-        outlook.proved > 0 && outlook.programme.has_lanes() && !*self.leaving.borrow()
+        outlook.proved > 0 && outlook.programme.has_lanes() && !self.told_off.load(std::sync::atomic::Ordering::Relaxed)
     }
 
-    /// Takes nothing new, and returns once all that was taken has its answer, or patience is over.
-    pub async fn stop(&self, patience: std::time::Duration) {
+    /// Not ready from now on, but serves as before for the notice: until whoever sends requests here has asked and heard it.
+    /// Then takes nothing new, and returns once all that was taken has its answer, or patience is over (design 13.7).
+    pub async fn stop(&self, notice: std::time::Duration, patience: std::time::Duration) {
+        self.told_off.store(true, std::sync::atomic::Ordering::Relaxed);
+        tokio::time::sleep(notice).await;
         self.leaving.send_replace(true);
         self.calls.leave();
         self.pit.leave().await;
