After all seats were killed channels open and reads go out without waiting for a turn

Cause: a seat that did not yet know its mates slept 100 to 200 ms before it dialled them, and a read that had set out alone was asked again only after 100 ms; a waiting instance then also met its 250 ms. Excluded: disks (voting 1 ms after the start), nodes' own dials (followed within 40 ms). Now a seat dials as soon as it hears of a mate, and a read under way is asked of a mate as its channel opens.

--- a/crates/gallery/src/acquaint.rs
+++ b/crates/gallery/src/acquaint.rs
@@ -27,6 +27,11 @@
     });
 }
 
+/// Until something new is known, and no longer than that.
+pub async fn news<T>(known: &mut tokio::sync::watch::Receiver<T>, most: std::time::Duration) {
+    drop(tokio::time::timeout(most, known.changed()).await);
+}
+
 /// Asks seeds and known seats in turn; quick until the core is complete, then now and then.
 pub async fn run(known: Known, seeds: Vec<String>, greeting: impl Fn() -> wings::Greeting + Send + 'static, seats: impl Fn() -> usize + Send) {
     let mut turn = 0usize;
@@ -47,3 +52,18 @@
         tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #[tokio::test]
+    async fn whoever_waits_for_a_seat_goes_on_as_soon_as_it_is_known() {
+        let known = super::nobody();
+        let mut heard = known.subscribe();
+        heard.mark_unchanged();
+        let seat = wings::CoreSeat { seat: 1, identity: 7, address: "there".into(), zone: "z0".into(), started: 1 };
+        super::merge(&known, vec![seat]);
+        // Without the news it would be a day.
+        let waits = super::news(&mut heard, std::time::Duration::from_secs(86_400));
+        assert!(tokio::time::timeout(std::time::Duration::from_secs(30), waits).await.is_ok());
+    }
+}
--- a/crates/gallery/src/core_link.rs
+++ b/crates/gallery/src/core_link.rs
@@ -16,7 +16,9 @@
 }
 
 async fn keep_dialing(core: Core, seat: u16) {
+    let mut heard = core.known.subscribe();
     loop {
+        heard.mark_unchanged();
         // The disk that holds the seat, or before all have met the latest to say it does.
         let holder = core.pins.load().get(&seat).copied();
         let place = {
@@ -38,7 +40,7 @@
             }
         }
         let pause = 100 + rand::random::<u64>() % 100;
-        tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
+        crate::acquaint::news(&mut heard, std::time::Duration::from_millis(pause)).await;
     }
 }
 
--- a/crates/repertory/src/resync.rs
+++ b/crates/repertory/src/resync.rs
@@ -17,6 +17,9 @@
         let know = self.shares[mate as usize].first_unknown(self.owned_from(mate, self.floor), self.seats);
         let applied = self.applied;
         self.send(mate, Message::Hello { know, applied });
+        // A read set out while this mate was away: whoever waits for it need not wait for the next asking.
+        let asks = self.reads.round.as_ref().filter(|round| !round.answers.contains_key(&mate)).map(|round| round.token);
+        asks.into_iter().for_each(|token| self.send(mate, Message::ReadAsk { token }));
     }
 
     pub(crate) fn closed(&mut self, mate: Seat) {
