Back ends are judged by what became of their runs; forgotten conns carry no unrepeatable request

Cause: a back end whose runs came to nothing kept its share. Near nodes see less than one request a second for each back end, so they cannot judge.

Now the node beside a back end judges it by its runs (design 13.8). Where any may serve it passes requests over, for longer each time; where keys are divided, the placing of keys counts it as able to do a tenth. No health answer is read. Kept conns: one that breaks after a rest is forgotten, not ill; conns rest half as long from then on; requests that must not run twice no longer throw away the kept conn that they may not use (design 13.9).

Excluded: health probes (6 ms of a slot each, and they lie), words between near nodes, counts that only fade (45 % of failing runs took 1.3 s to show).

Simulated, virtual time, guard against no guard: of 16 back ends 2 answer troubles for 8 s, 47 against 1310 requests lost; 24 back ends divided by key, 3 with 45 % of runs hanging, over within 2 s, 81 lost and 106 refused while keys moved against 254 and 80; wrongly judged: none.

--- a/crates/apron/src/course.rs
+++ b/crates/apron/src/course.rs
@@ -32,6 +32,8 @@
 
 /// Between two looks at who holds a key that is on its way from one to another.
 const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(15);
+/// Back ends that pass a request over before one has to take it.
+const PASSED: u8 = 2;
 /// Where an operator names no aim.
 const AIM: Micros = 1_000_000;
 
@@ -64,9 +66,10 @@
             aim: 0,
             rank: lane.rank,
             repeatable: lane.repeatable,
+            anyway: false,
         });
         let mut passed_over: Vec<String> = Vec::new();
-        let mut dispatches = 0;
+        let (mut dispatches, mut declined) = (0, 0);
         loop {
             let outlook = self.outlook.load_full();
             let programme = &outlook.programme;
@@ -102,6 +105,9 @@
             let lost = matches!(trouble.cause, Cause::Unreachable | Cause::MateLost | Cause::BackEndLost | Cause::Leaving);
             self.picks.done(&picked.name, (!lost).then_some(wait), lost).await;
             passed_over.push(picked.name);
+            // However many are ill, a request goes past few of them.
+            declined += (trouble.cause == Cause::PassedOver) as u8;
+            cue.anyway = declined >= PASSED;
             let certain = trouble.verdict == Verdict::NotRun;
             if !certain && !lane.repeatable || !worth_another(&trouble, cue.key.is_some()) {
                 return Err(trouble);
@@ -136,9 +142,11 @@
 /// Troubles that another back end, or a moment later, may not have.
 fn worth_another(trouble: &Trouble, keyed: bool) -> bool {
     match trouble.cause {
-        Cause::Unreachable
+        Cause::PassedOver
+        | Cause::Unreachable
         | Cause::MateLost
         | Cause::BackEndLost
+        | Cause::ConnForgotten
         | Cause::BadSeal
         | Cause::Leaving
         | Cause::WrongIncarnation
--- a/crates/pit/src/desk.rs
+++ b/crates/pit/src/desk.rs
@@ -15,15 +15,16 @@
 
 enum Command {
     Enter(Box<wings::Cue>, Micros, Answer),
-    Ended { began: Micros, ran: bool },
+    Ended { number: u64, took: Option<Micros>, ended: crate::Ended },
     Local(Option<Local>),
     Leave,
-    Load(tokio::sync::oneshot::Sender<(usize, usize)>),
+    Load(tokio::sync::oneshot::Sender<(usize, usize, bool)>),
     Demand(usize, tokio::sync::oneshot::Sender<Option<Asked>>),
 }
 
-/// Slots, the mean run and of how many, the requests a second on ranges of keys, and how many requests say so.
-pub type Asked = (u32, (Micros, u32), Vec<(u16, u16, f32)>, f32);
+/// Slots, the mean run and of how many, the requests a second on ranges of keys, how many requests say so, and whether
+/// the back end is ill.
+pub type Asked = (u32, (Micros, u32), Vec<(u16, u16, f32)>, f32, bool);
 
 #[derive(Clone)]
 pub struct Pit(tokio::sync::mpsc::Sender<Command>);
@@ -35,7 +36,7 @@
     local: Option<Local>,
     buffer: Buffer<(Box<wings::Cue>, Answer)>,
     demand: crate::Demand,
-    running: usize,
+    health: crate::Health,
     leaving: bool,
 }
 
@@ -48,8 +49,16 @@
     pub fn start(env: PitEnv) -> Pit {
         let (commands, mut buffer) = tokio::sync::mpsc::channel(4_096);
         let door = std::sync::Arc::new(crate::Door::new(env.words.clone()));
-        let mut owner =
-            Owner { env, commands: commands.clone(), door, local: None, buffer: Default::default(), demand: Default::default(), running: 0, leaving: false };
+        let mut owner = Owner {
+            env,
+            commands: commands.clone(),
+            door,
+            local: None,
+            buffer: Default::default(),
+            demand: Default::default(),
+            health: Default::default(),
+            leaving: false,
+        };
         tokio::spawn(async move {
             loop {
                 let waits = !owner.buffer.is_empty();
@@ -92,8 +101,8 @@
         asked.await.ok().flatten()
     }
 
-    /// Running and waiting.
-    pub async fn load(&self) -> (usize, usize) {
+    /// Running and waiting, and whether the back end is ill.
+    pub async fn load(&self) -> (usize, usize, bool) {
         let (answer, load) = tokio::sync::oneshot::channel();
         self.0.send(Command::Load(answer)).await.unwrap_or_default();
         load.await.unwrap_or_default()
@@ -104,11 +113,9 @@
     fn take(&mut self, command: Command) {
         match command {
             Command::Enter(cue, until, answer) => self.enter(cue, until, answer),
-            Command::Ended { began, ran } => {
-                self.running -= 1;
-                if ran {
-                    self.buffer.ran(playbill::now() - began);
-                }
+            Command::Ended { number, took, ended } => {
+                self.health.ended(playbill::now(), number, ended);
+                took.into_iter().for_each(|took| self.buffer.ran(took));
             }
             Command::Local(local) => self.set_local(local),
             Command::Leave => self.leaving = true,
@@ -116,12 +123,13 @@
                 let local = self.local.as_ref().and_then(|local| local.holding.as_ref().map(|holding| (local.slots, holding.rows.clone())));
                 let asked = local.map(|(slots, rows)| {
                     let (ranges, seen) = self.demand.tell(playbill::now(), &rows, most);
-                    (slots, self.buffer.seen_run(), ranges, seen)
+                    (slots, self.buffer.seen_run(), ranges, seen, self.health.ill())
                 });
                 drop(answer.send(asked));
             }
-            Command::Load(answer) => drop(answer.send((self.running, self.buffer.len()))),
+            Command::Load(answer) => drop(answer.send((self.health.running(), self.buffer.len(), self.health.ill()))),
         }
+        self.health.look(playbill::now(), self.buffer.seen_run());
         self.expire();
         self.start_next();
     }
@@ -129,6 +137,7 @@
     fn set_local(&mut self, local: Option<Local>) {
         if self.local.as_ref().map(|held| (&held.name, &held.address)) != local.as_ref().map(|held| (&held.name, &held.address)) {
             self.door.clear();
+            self.health.forget();
         }
         self.local = local;
         let now = playbill::now();
@@ -144,7 +153,7 @@
     }
 
     fn wait(&self, rank: u8) -> Micros {
-        self.buffer.wait(playbill::now(), rank, self.running, self.slots())
+        self.buffer.wait(playbill::now(), rank, self.health.running(), self.slots())
     }
 
     /// What a request would spend here, for those who pick: the wait, and half of a run, as a slow back end is worth
@@ -165,6 +174,10 @@
         if let Some(trouble) = refusal(self.local.as_ref(), now, &cue) {
             return self.answer(answer, Err(trouble));
         }
+        // Whoever holds a key cannot be passed over here: the placing of keys does that (design 13.8).
+        if let Some(elsewhere) = self.health.declines(now, cue.repeatable).filter(|_| cue.key.is_none() && !cue.anyway) {
+            return drop(answer.send((Err(Trouble::new(Cause::PassedOver, "its runs come to nothing").later(elsewhere)), elsewhere)));
+        }
         cue.key.into_iter().for_each(|key| self.demand.asked(now, key));
         let wait = self.wait(cue.rank);
         // What cannot be answered in time is told at once, with when to come back.
@@ -181,7 +194,7 @@
     }
 
     fn start_next(&mut self) {
-        while self.running < self.slots() {
+        while self.health.running() < self.slots() {
             let now = playbill::now();
             let Some(next) = self.buffer.pop(now) else { return };
             let (cue, answer) = next.held;
@@ -194,13 +207,14 @@
 
     fn run(&mut self, cue: Box<wings::Cue>, until: Micros, answer: Answer) {
         let Some(address) = self.local.as_ref().map(|local| local.address.clone()) else { return };
-        self.running += 1;
+        let number = self.health.begin(playbill::now());
         let (door, commands, wait, began) = (self.door.clone(), self.commands.clone(), self.told_wait(), playbill::now());
         tokio::spawn(async move {
             let left = until.saturating_sub(began);
             let ran = tokio::time::timeout(std::time::Duration::from_micros(left), door.pass(&address, &cue, left)).await;
             let outcome = ran.unwrap_or_else(|_| Err(Trouble::new(Cause::RanOutOfTime, "no answer within the wait")));
-            drop(commands.send(Command::Ended { began, ran: outcome.is_ok() }).await);
+            let took = outcome.is_ok().then(|| playbill::now() - began);
+            drop(commands.send(Command::Ended { number, took, ended: crate::health::ended(&outcome) }).await);
             drop(answer.send((outcome, wait)));
         });
     }
--- a/crates/pit/src/door.rs
+++ b/crates/pit/src/door.rs
@@ -11,6 +11,12 @@
 /// A conn is made on this machine: one that takes longer has nobody at its other end.
 const CONNECT: std::time::Duration = std::time::Duration::from_millis(1_000);
 
+/// It is another back end, or does not hold the key: no sign of how it does.
+pub(crate) const NOT_ITS: &str = "the back end turned it away with 421";
+
+/// A conn that rested less is not forgotten: when it breaks, that is the back end's doing.
+const YOUNG: Micros = 100_000;
+
 type Request = hyper::Request<http_body_util::Full<bytes::Bytes>>;
 
 impl Door {
@@ -48,11 +54,12 @@
     pub async fn pass(&self, address: &str, cue: &wings::Cue, left: Micros) -> Result<wings::Take, Trouble> {
         let began = playbill::now();
         loop {
-            let kept = self.conns.take(playbill::now()).filter(|_| cue.repeatable);
+            // One that rested may be forgotten without a word: what must not run twice is never sent on it (design 13.9).
+            let kept = cue.repeatable.then(|| self.conns.take(playbill::now())).flatten();
             let fresh = kept.is_none();
-            let mut sender = match kept {
-                Some(sender) => sender,
-                None => self.dial(address).await?,
+            let (rested, mut sender) = match kept {
+                Some(kept) => kept,
+                None => (0, self.dial(address).await?),
             };
             if sender.ready().await.is_err() && !fresh {
                 continue;
@@ -63,7 +70,12 @@
                 Ok(answer) => return self.whole(cue, answer, sender).await,
                 Err(error) if error.is_canceled() && !fresh => continue,
                 Err(error) if error.is_canceled() => return Err(Trouble::new(Cause::Unreachable, "the conn closed before the request")),
-                Err(error) => return Err(Trouble::new(Cause::BackEndLost, error.to_string())),
+                Err(error) if fresh || rested < YOUNG => return Err(Trouble::new(Cause::BackEndLost, error.to_string())),
+                // Whether it came again is for the budget, so for the near side.
+                Err(error) => {
+                    self.conns.forgotten(playbill::now(), rested);
+                    return Err(Trouble::new(Cause::ConnForgotten, error.to_string()));
+                }
             }
         }
     }
@@ -86,7 +98,8 @@
             self.conns.give(playbill::now(), sender, kept.map(|seconds| seconds * 1_000_000));
         }
         if head.status.as_u16() == 421 || head.headers.contains_key(self.words.not_run) {
-            return Err(Trouble::new(Cause::Refused, format!("the back end turned it away with {}", head.status.as_u16())));
+            let why = if head.status.as_u16() == 421 { NOT_ITS.into() } else { format!("the back end turned it away with {}", head.status.as_u16()) };
+            return Err(Trouble::new(Cause::Refused, why));
         }
         let headers = head.headers.iter().filter(|(name, _)| !lobby::words::of_one_conn(name.as_str()) && name.as_str() != self.words.try_id);
         let headers = headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec())).collect();
--- a/crates/pit/src/lib.rs
+++ b/crates/pit/src/lib.rs
@@ -6,10 +6,12 @@
 mod demand;
 mod desk;
 mod door;
+mod health;
 mod local;
 
 pub use buffer::{Buffer, Waiting};
 pub use demand::Demand;
 pub use desk::{Outcome, Pit, PitEnv};
 pub use door::Door;
+pub use health::{Ended, Health};
 pub use local::{Holding, Local};
--- a/crates/playbill/src/verdict.rs
+++ b/crates/playbill/src/verdict.rs
@@ -32,6 +32,7 @@
     NoBackEnd = "no_back_end", NotRun, 503;
     Unreachable = "unreachable", NotRun, 503;
     Overloaded = "overloaded", NotRun, 429;
+    PassedOver = "passed_over", NotRun, 503;
     KeyCrowded = "key_crowded", NotRun, 429;
     KeyUnheld = "key_unheld", NotRun, 503;
     TooLate = "too_late", NotRun, 504;
@@ -45,6 +46,7 @@
     EarlierLife = "earlier_life", MayHaveRun, 409;
     MateLost = "mate_lost", MayHaveRun, 502;
     BackEndLost = "back_end_lost", MayHaveRun, 502;
+    ConnForgotten = "conn_forgotten", MayHaveRun, 502;
     BadSeal = "bad_seal", MayHaveRun, 502;
     ReplyTooLarge = "reply_too_large", MayHaveRun, 502;
     RanOutOfTime = "ran_out_of_time", MayHaveRun, 504;
--- a/crates/troupe/src/duty.rs
+++ b/crates/troupe/src/duty.rs
@@ -1,6 +1,11 @@
 //! The duty of placing a service's keys: one node beside it does it, the next in order when that one does not
 //! (design 11.4). What it puts in the log counts only on top of the placement it saw, so two do no harm.
 
+mod ills;
+#[cfg(test)]
+mod judged;
+
+use ills::Ills;
 use playbill::bill::{Programme, Report};
 use playbill::{BackEndName, Micros};
 
@@ -27,6 +32,8 @@
 const ENOUGH: f64 = 40.0;
 /// What the mean of all counts beside a back end's own runs.
 const UNSEEN: f64 = 12.0;
+/// What an ill one is given of what it could do.
+const ILL_SHARE: f64 = 0.1;
 /// Stripes of the first placement.
 const STRIPES: u32 = 8;
 /// Ranges in one telling.
@@ -52,7 +59,7 @@
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut since: (Vec<BackEndName>, Micros) = Default::default();
         let mut told = Told::new();
-        let (mut told_at, mut placed) = (0, 0);
+        let (mut told_at, mut placed, mut ills) = (0, 0, Ills::default());
         loop {
             every.tick().await;
             let now = playbill::now();
@@ -65,7 +72,8 @@
             if outlook.proved == 0 || !keyed {
                 continue;
             }
-            let waits = now >= told_at + TELL_SOON && self.pit.load().await.1 > 0;
+            let (_, waiting, ill) = if now >= told_at + TELL_SOON { self.pit.load().await } else { Default::default() };
+            let waits = waiting > 0 || ill;
             if waits || now >= told_at + TELL {
                 told_at = now;
                 self.tell(programme, &mut told).await;
@@ -76,7 +84,8 @@
                 since = (cast, now);
             }
             let rank = rank(programme, &self.service, &self.node);
-            let Some((base, rows, why)) = plan(programme, &self.service, &told, (rank == 0).then(|| now.saturating_sub(placed))) else { continue };
+            let ill = ills.now(now, &told, since.0.len());
+            let Some((base, rows, why)) = plan(programme, &self.service, &told, &ill, (rank == 0).then(|| now.saturating_sub(placed))) else { continue };
             let quiet = match why {
                 _ if base == 0 => QUIET_FIRST,
                 Why::Orphaned => 0,
@@ -109,8 +118,8 @@
         let weight = |name: &str| playbill::terms::hash(&format!("{}\n{name}", self.service));
         let Some(first) = cast.iter().max_by_key(|one| weight(&one.node)) else { return };
         let Some(own) = programme.players.iter().find(|(_, player)| player.node == self.node && player.service == self.service) else { return };
-        let Some((slots, (run, runs), asked, seen)) = self.pit.asked(RANGES).await else { return };
-        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, runs, asked, seen };
+        let Some((slots, (run, runs), asked, seen, ill)) = self.pit.asked(RANGES).await else { return };
+        let load = wings::Load { service: self.service.clone(), back_end: own.0.clone(), slots, run, runs, asked, seen, ill };
         if first.node == self.node {
             told.insert(own.0.clone(), (playbill::now(), load));
         } else {
@@ -138,7 +147,7 @@
 type Wanted = (playbill::Position, crate::Cast, Why);
 
 /// `since`: how long ago this node placed keys last, if the duty is its own.
-fn plan(programme: &Programme, service: &str, told: &Told, since: Option<Micros>) -> Option<Wanted> {
+fn plan(programme: &Programme, service: &str, told: &Told, ill: &[BackEndName], since: Option<Micros>) -> Option<Wanted> {
     let cast = programme.cast(service);
     if cast.is_empty() {
         return None;
@@ -154,7 +163,7 @@
     }
     let mut asks: Vec<crate::Ask> = told.values().flat_map(|(_, load)| load.asked.iter().map(|(from, to, rate)| (*from, *to, *rate as f64))).collect();
     asks.sort_by_key(|(from, ..)| *from);
-    let parts = parts(&cast, told);
+    let parts = parts(&cast, told, ill);
     let seen: f64 = told.values().map(|(_, load)| load.seen as f64).sum();
     // What few requests show may be chance.
     let chance = 0.8 / (seen / parts.len() as f64).sqrt();
@@ -176,8 +185,8 @@
 }
 
 /// Requests a second that each back end can do: its slots over the mean time of its runs. The fewer of them were
-/// seen, the more it counts as the others do.
-fn parts(cast: &[playbill::bill::Onstage], told: &Told) -> Vec<crate::Part> {
+/// seen, the more it counts as the others do. Who is ill is given little (design 13.8).
+fn parts(cast: &[playbill::bill::Onstage], told: &Told, ill: &[BackEndName]) -> Vec<crate::Part> {
     let seen = |name: &str| told.get(name).map(|(_, load)| (load.run as f64, load.runs as f64)).unwrap_or((0.0, 0.0));
     let (sum, count) = cast.iter().map(|one| seen(&one.name)).fold((0.0, 0.0), |(sum, count), (run, runs)| (sum + run * runs, count + runs));
     let mean = if count > 0.0 { sum / count } else { 1e6 };
@@ -185,5 +194,6 @@
         let (run, runs) = seen(name);
         (run * runs + mean * UNSEEN) / (runs + UNSEEN)
     };
-    cast.iter().map(|one| (one.name.clone(), one.slots.max(1) as f64 * 1e6 / run(&one.name))).collect()
+    let share = |one: &playbill::bill::Onstage| if ill.contains(&one.name) { ILL_SHARE } else { 1.0 };
+    cast.iter().map(|one| (one.name.clone(), share(one) * one.slots.max(1) as f64 * 1e6 / run(&one.name))).collect()
 }
--- a/crates/wings/src/cue.rs
+++ b/crates/wings/src/cue.rs
@@ -20,6 +20,8 @@
     pub aim: Micros,
     pub rank: u8,
     pub repeatable: bool,
+    /// Others passed it over: the back end is to take it however it does (design 13.8).
+    pub anyway: bool,
 }
 
 /// A cue as it is said on a conn (design 13.8).
@@ -33,6 +35,7 @@
     aim: u32,
     rank: u8,
     repeatable: bool,
+    anyway: bool,
 }
 
 const TO: &str = ":to";
@@ -56,6 +59,7 @@
             aim: short(self.aim),
             rank: self.rank,
             repeatable: self.repeatable,
+            anyway: self.anyway,
         }
     }
 }
@@ -76,6 +80,7 @@
             aim: self.aim as Micros,
             rank: self.rank,
             repeatable: self.repeatable,
+            anyway: self.anyway,
         })
     }
 }
--- a/crates/wings/src/frame.rs
+++ b/crates/wings/src/frame.rs
@@ -93,6 +93,8 @@
     /// Requests a second on ranges of the keys it holds, and how many requests say so.
     pub asked: Vec<(u16, u16, f32)>,
     pub seen: f32,
+    /// Its runs come to nothing (design 13.8).
+    pub ill: bool,
 }
 
 /// Large parts are boxed: a frame is as long as its longest part that is not.
