--- a/crates/pit/tests/health.rs
+++ b/crates/pit/tests/health.rs
@@ -33,7 +33,7 @@
     let ill = until_ill(&mut mixed, 2_000_000, 10_000_000, |_| Ended::Bad);
     assert_eq!((good, ill), (None, Some(2_000_000 + 5 * RUN)), "six of the latest, however many good ones were before");
     let mut well = Health::default();
-    assert_eq!(until_ill(&mut well, 0, 120_000_000, |now| if now / RUN % 20 == 0 { Ended::Bad } else { Ended::Good }), None);
+    assert_eq!(until_ill(&mut well, 0, 120_000_000, |now| if (now / RUN).is_multiple_of(20) { Ended::Bad } else { Ended::Good }), None);
     let mut unclear = Health::default();
     assert_eq!(until_ill(&mut unclear, 0, 10_000_000, |_| Ended::Unclear), None);
 }
