--- a/crates/rehearsal/src/billsim/stage.rs
+++ b/crates/rehearsal/src/billsim/stage.rs
@@ -170,17 +170,18 @@
             let desk = &mut self.seats[line.seat].desk;
             match frame {
                 wings::Frame::Follow { held } => desk.follow(held, line.sender.clone()),
-                wings::Frame::Ask { number } => {
-                    self.tokens += 1;
-                    desk.asked(self.tokens, number, line.sender.clone());
-                    match plan.without.quorum {
-                        true => desk.proved(self.tokens),
-                        false => world.read(line.seat as u16, self.tokens),
-                    }
-                }
+                wings::Frame::Ask { number } => desk.asked(number, line.sender.clone()),
                 _ => {}
             }
         }
+        let desk = &mut self.seats[line.seat].desk;
+        if world.runs(line.seat) && desk.round(now, self.tokens + 1) {
+            self.tokens += 1;
+            match plan.without.quorum {
+                true => desk.proved(self.tokens),
+                false => world.read(line.seat as u16, self.tokens),
+            }
+        }
         while let Ok(frame) = line.told.try_recv() {
             let earliest = line.down.back().map(|(due, _)| *due).unwrap_or(0).max(node.stalled_until);
             line.down.push_back((earliest.max(now + world.draw(plan.hop)), frame));
--- a/crates/rehearsal/tests/rolled/node.rs
+++ b/crates/rehearsal/tests/rolled/node.rs
@@ -17,7 +17,7 @@
         service: crate::site::service(at),
         seeds,
         words: lobby::words::OWN,
-        pick: apron::PickEnv { crossing: 0, earned_of_100: 8, allowance: 1 },
+        pick: apron::PickEnv { crossing: 0, earned_of_100: 8 },
         ahead: 1,
         ask_every: 200_000,
         watch_every: 1_000_000,
@@ -52,7 +52,7 @@
                 drop(told.send(node.following.outlook.clone()));
                 let in_order = ordered.wait_for(Option::is_some).await.is_ok_and(|ordered| *ordered == Some(true));
                 if in_order {
-                    node.stop(std::time::Duration::from_secs(120)).await;
+                    node.stop(std::time::Duration::ZERO, std::time::Duration::from_secs(120)).await;
                 }
             });
         };
--- a/crates/troupe/tests/desk.rs
+++ b/crates/troupe/tests/desk.rs
@@ -134,6 +134,7 @@
         aim: 60_000_000,
         rank: 0,
         repeatable: true,
+        anyway: false,
     };
     let given = async {
         loop {
--- a/crates/troupe/tests/leaving.rs
+++ b/crates/troupe/tests/leaving.rs
@@ -14,7 +14,7 @@
         service: "seat".into(),
         seeds: Vec::new(),
         words: lobby::words::OWN,
-        pick: apron::PickEnv { crossing: 15_000, earned_of_100: 8, allowance: 1 },
+        pick: apron::PickEnv { crossing: 15_000, earned_of_100: 8 },
         ahead: 1,
         ask_every: 1_000_000,
         watch_every: 500_000,
--- a/crates/troupe/tests/unproved.rs
+++ b/crates/troupe/tests/unproved.rs
@@ -20,7 +20,7 @@
         service: "seat".into(),
         seeds: Vec::new(),
         words: lobby::words::OWN,
-        pick: apron::PickEnv { crossing: 0, earned_of_100: 8, allowance: 1 },
+        pick: apron::PickEnv { crossing: 0, earned_of_100: 8 },
         ahead: 1,
         ask_every: 50_000,
         watch_every: 1_000_000,
@@ -56,7 +56,8 @@
                         desk.follow(told, conn.sender.clone());
                     }
                     wings::Frame::Ask { number } if *proves.borrow() => {
-                        desk.asked(number, number, conn.sender.clone());
+                        desk.asked(number, conn.sender.clone());
+                        desk.round(number * 1_000_000, number);
                         desk.proved(number);
                     }
                     _ => {}
@@ -144,6 +145,7 @@
         aim: 400_000,
         rank: 0,
         repeatable: false,
+        anyway: false,
     };
     // Until the owner of the slots has heard of the back end it knows nobody of that name.
     let cause = async {
--- a/crates/wings/src/short.rs
+++ b/crates/wings/src/short.rs
@@ -1,4 +1,4 @@
-//! Pairs that are said again and again on one conn are said by number (design 13.8). Both ends keep the same table,
+//! Pairs that are said again and again on one conn are said by number (design 13.2). Both ends keep the same table,
 //! as a conn is one FIFO channel; a new conn begins with empty ones.
 
 pub type Pair = (String, Vec<u8>);
