--- a/crates/apron/src/course.rs
+++ b/crates/apron/src/course.rs
@@ -34,6 +34,8 @@
 const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(15);
 /// Back ends that pass a request over before one has to take it.
 const PASSED: u8 = 2;
+/// How much later than the wait a mate's last word may come.
+const STANDS_STILL: Micros = 50_000;
 /// Where an operator names no aim.
 const AIM: Micros = 1_000_000;
 
@@ -70,6 +72,7 @@
         });
         let mut passed_over: Vec<String> = Vec::new();
         let (mut dispatches, mut declined) = (0, 0);
+        let mut may_have_run = false;
         loop {
             let outlook = self.outlook.load_full();
             let programme = &outlook.programme;
@@ -77,7 +80,7 @@
             cue.key = ask.key.filter(|_| keyed);
             let now = playbill::now();
             if now >= until {
-                return Err(Trouble::new(Cause::TooLate, "the wait was over before it could be dispatched"));
+                return Err(honest(Trouble::new(Cause::TooLate, "the wait was over before it could be dispatched"), may_have_run));
             }
             (cue.left, cue.aim) = (until - now, (ask.at + aim).saturating_sub(now));
             let picked = match cue.key {
@@ -86,15 +89,19 @@
             };
             let Some(picked) = picked else {
                 if now >= patience {
-                    return Err(Trouble::new(if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd }, "nobody can take it now").later(300_000));
+                    let nobody = if cue.key.is_some() { Cause::KeyUnheld } else { Cause::NoBackEnd };
+                    return Err(honest(Trouble::new(nobody, "nobody can take it now").later(300_000), may_have_run));
                 }
                 passed_over.clear();
                 tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             };
             cue.back_end = picked.name.clone();
-            let (outcome, wait) =
-                if picked.node == self.node { self.pit.perform(cue.clone()).await } else { self.mates.call(&picked.address, cue.clone()).await };
+            let (outcome, wait) = if picked.node == self.node {
+                self.pit.perform(cue.clone()).await
+            } else {
+                in_time(until - now, self.mates.call(&picked.address, cue.clone())).await
+            };
             let trouble = match outcome {
                 Ok(take) => {
                     self.picks.done(&picked.name, Some(wait), false).await;
@@ -109,14 +116,15 @@
             declined += (trouble.cause == Cause::PassedOver) as u8;
             cue.anyway = declined >= PASSED;
             let certain = trouble.verdict == Verdict::NotRun;
+            may_have_run |= !certain;
             if !certain && !lane.repeatable || !worth_another(&trouble, cue.key.is_some()) {
-                return Err(trouble);
+                return Err(honest(trouble, may_have_run));
             }
             // What a back end was given counts, though it ran nothing.
             let arrived = !certain || trouble.cause == Cause::Refused;
             dispatches += arrived as u8;
             if arrived && (dispatches >= lane.dispatches || !self.picks.spend(&service).await) {
-                return Err(trouble);
+                return Err(honest(trouble, may_have_run));
             }
         }
     }
@@ -130,6 +138,20 @@
     }
 }
 
+/// A mate answers when the wait is over; one that stands still answers nobody.
+async fn in_time(left: Micros, call: impl Future<Output = pit::Outcome>) -> pit::Outcome {
+    let called = tokio::time::timeout(std::time::Duration::from_micros(left + STANDS_STILL), call).await;
+    called.unwrap_or_else(|_| (Err(Trouble::new(Cause::RanOutOfTime, "that node answered nothing in time")), 0))
+}
+
+/// Once a dispatch may have run, no later refusal takes that back.
+fn honest(trouble: Trouble, may_have_run: bool) -> Trouble {
+    if !may_have_run || trouble.verdict == Verdict::MayHaveRun {
+        return trouble;
+    }
+    Trouble::new(Cause::BackEndLost, format!("an earlier dispatch may have run; then: {}", trouble.cause.code()))
+}
+
 /// Whoever holds the key, or while it moves whoever may hold it still.
 fn holder(programme: &playbill::bill::Programme, service: &str, key: u16, passed_over: &[String]) -> Option<playbill::bill::Onstage> {
     let casting = programme.castings.get(service)?;
@@ -170,3 +192,23 @@
     });
     upto.into_iter().find(|(sum, _)| point < *sum).map(|(_, service)| service.clone()).unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_may_have_run_is_never_said_not_to_have_run() {
+        let refusal = || Trouble::new(Cause::Overloaded, "full").later(1);
+        assert_eq!(honest(refusal(), false).verdict, Verdict::NotRun);
+        assert_eq!(honest(refusal(), true).verdict, Verdict::MayHaveRun);
+        assert_eq!(honest(Trouble::new(Cause::RanOutOfTime, ""), true).cause, Cause::RanOutOfTime);
+    }
+
+    #[tokio::test]
+    async fn a_mate_that_stands_still_is_waited_for_no_longer_than_the_sender_waits() {
+        let (outcome, _) = in_time(0, std::future::pending()).await;
+        let trouble = outcome.expect_err("nobody answers");
+        assert_eq!((trouble.cause, trouble.verdict), (Cause::RanOutOfTime, Verdict::MayHaveRun));
+    }
+}
--- a/crates/pit/src/door.rs
+++ b/crates/pit/src/door.rs
@@ -101,6 +101,10 @@
             let why = if head.status.as_u16() == 421 { NOT_ITS.into() } else { format!("the back end turned it away with {}", head.status.as_u16()) };
             return Err(Trouble::new(Cause::Refused, why));
         }
+        // To senders these say that it never ran; without the back end's word nobody knows.
+        if [408, 429, 503].contains(&head.status.as_u16()) {
+            return Err(Trouble::new(Cause::BackEndLost, format!("a bare {}, which says nothing of whether it ran", head.status.as_u16())));
+        }
         let headers = head.headers.iter().filter(|(name, _)| !lobby::words::of_one_conn(name.as_str()) && name.as_str() != self.words.try_id);
         let headers = headers.map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec())).collect();
         Ok(wings::Take { status: head.status.as_u16(), headers, body: body.to_vec() })
