--- a/crates/gallery/src/following.rs
+++ b/crates/gallery/src/following.rs
@@ -99,10 +99,7 @@
                         self.looks += 1;
                         break;
                     }
-                    // Where everyone starts at once a seat has much to tell before its first proof; to begin anew elsewhere costs
-                    // all of that again.
-                    let patience = if self.book.believed().is_some() { self.env.patience } else { self.env.patience * 2 };
-                    let trusted = self.book.waits_since().is_none_or(|asked| now < asked + patience);
+                    let trusted = self.book.waits_since().is_none_or(|asked| now < asked + self.env.patience);
                     proved &= trusted;
                     trusted && conn.sender.try_send(self.book.ask(now)).is_ok()
                 }
