A node whose way is back begins with its own zone's seat at once

Cause: a node that was cut off for seven seconds counted its failed dials as rounds, so it paused up to 1.3 s between two tries; the first seat it reached was itself cut off from the core, and 3.3 s passed until it followed one that proves. Excluded: the seats (the change was chosen in 0.05 s), the proof before belief (the node had lived on), the order by zone. Change: once a whole round reached nobody and then one is reached, the order and the pauses begin anew. Seen failing first: the new test without that arm.

--- a/crates/gallery/src/following.rs
+++ b/crates/gallery/src/following.rs
@@ -56,27 +56,47 @@
     seats
 }
 
+/// Which seat is next, and how many dials in a row reached none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Turns {
+    turn: usize,
+    missed: usize,
+}
+
+impl Turns {
+    /// `met`: whether the seat that was reached proved to the end; none if it was not reached.
+    fn after(self, seats: usize, met: Option<bool>) -> Turns {
+        match met {
+            Some(true) => Turns::default(),
+            // Nobody could be reached for a whole round, and now one is: the way is back, and the order begins anew at once.
+            Some(false) if self.missed >= seats => Turns::default(),
+            Some(false) => Turns { turn: self.turn + 1, missed: 0 },
+            None => Turns { turn: self.turn + 1, missed: self.missed + 1 },
+        }
+    }
+}
+
 impl<G: Fn() -> wings::Greeting + Send + Sync + 'static> Line<G> {
     async fn run(mut self) {
-        let mut turn = 0;
+        let mut turns = Turns::default();
         loop {
             let seats = by_zone(&self.known, &self.env.zone, &self.env.name);
-            if let Some(seat) = seats.get(turn % seats.len().max(1)) {
+            if let Some(seat) = seats.get(turns.turn % seats.len().max(1)) {
                 match wings::dial(&seat.address, (self.greeting)()).await {
                     Ok(conn) => {
                         crate::acquaint::merge(&self.known, conn.greeting.known.clone());
                         slog::info!(self.logger, "follows"; "upstream" => &conn.greeting.name);
                         // One that is gone may be back at once; one that proves nothing is left for the next.
-                        turn = if self.attend(conn).await { 0 } else { turn + 1 };
+                        turns = turns.after(seats.len(), Some(self.attend(conn).await));
                     }
                     Err(trouble) => {
-                        turn += 1;
+                        turns = turns.after(seats.len(), None);
                         slog::debug!(self.logger, "dial"; "address" => &seat.address, "trouble" => %trouble);
                     }
                 }
             }
             // Once round without any use: no seat proves anything now, and asking them all faster does not help.
-            let round = (turn / seats.len().max(1)).min(4) as u64;
+            let round = (turns.turn / seats.len().max(1)).min(4) as u64;
             let pause = 20 + 150 * round;
             tokio::time::sleep(std::time::Duration::from_millis(pause + rand::random::<u64>() % (pause + 10))).await;
         }
@@ -122,3 +142,26 @@
         heard != crate::promptbook::Heard::Misfit
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Turns;
+
+    fn after(words: &[Option<bool>]) -> Turns {
+        words.iter().fold(Turns::default(), |turns, met| turns.after(5, *met))
+    }
+
+    #[test]
+    fn a_node_whose_way_is_back_begins_with_its_own_zone_at_once() {
+        let cut: Vec<Option<bool>> = vec![None; 17];
+        assert_eq!(after(&cut).turn, 17);
+        // The first that is reached is a seat that is itself cut off.
+        assert_eq!(after(&[cut, vec![Some(false)]].concat()), Turns::default());
+    }
+
+    #[test]
+    fn a_dead_seat_and_one_that_proves_nothing_do_not_keep_it_from_the_third() {
+        assert_eq!(after(&[None, Some(false)]).turn, 2);
+        assert_eq!(after(&[None, Some(false), Some(true)]), Turns::default());
+    }
+}
