--- /dev/null
+++ b/crates/soak/src/backend.rs
@@ -0,0 +1,353 @@
+//! Backends of a run: they take requests, say that they live, and hold the keys they are given.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use rand::Rng as _;
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::{Clock, MILLISECOND, Micros, SECOND};
+use crate::http::{self, HttpConnection};
+use crate::site::{BACKEND_PORT, CONTROL_PORT, Machine, SERVICES, Site};
+
+/// Header of an answer: the number of the service that ran the request.
+pub const SERVICE_HEADER: &str = "x-soak-service";
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(780);
+/// Until keys that are to be let go are said to be so.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(60);
+/// A heartbeat counts if it is answered within a second.
+const HEARTBEAT_PATIENCE: Duration = Duration::from_secs(1);
+/// How long a draining backend serves on: `drain` and a little more.
+const DRAIN_TIME: Duration = Duration::from_millis(2_300);
+/// Between two backends at one address.
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(600);
+/// Requests run for so long at the most, in milliseconds.
+const MAX_WORK_MS: u64 = 8;
+const SLOTS: u32 = 32;
+const ACCEPT_QUEUE: u32 = 1_024;
+const MISDIRECTED: u16 = 421;
+
+/// What a backend is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BackendOrder {
+    /// Drain, sign off and end; another one follows.
+    Replace,
+    /// End without a word; another one follows.
+    Crash,
+}
+
+/// A range of keys that is held.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct HeldRange {
+    first: u16,
+    last: u16,
+    fence: u64,
+}
+
+/// Keys of one incarnation of a backend.
+#[derive(Default)]
+struct Keys {
+    held: Vec<HeldRange>,
+    /// Ranges let go and not said to be yet, each with its hand-over.
+    released: Vec<(u16, u16, String)>,
+    held_until: Micros,
+}
+
+/// One incarnation of a backend.
+struct Incarnation {
+    id: String,
+    service: usize,
+    clock: Clock,
+    keys: Mutex<Keys>,
+}
+
+/// Runs the backends beside a node, one incarnation after the other, for as long as the run.
+pub async fn run(site: Arc<Site>, node: usize, clock: Clock, orders: mpsc::Receiver<BackendOrder>) {
+    let machine = Machine::Node(node);
+    let service = site.service_of(node);
+    let service = SERVICES.iter().position(|name| *name == service);
+    let mut machine = BackendMachine {
+        address: site.address(machine, BACKEND_PORT),
+        control: site.address(machine, CONTROL_PORT),
+        zone: format!("zone-{}", site.zone(machine)),
+        service: service.unwrap_or_default(),
+        node,
+        clock,
+        orders,
+    };
+    let mut generation = 0;
+    while machine.run_incarnation(generation).await.is_some() {
+        generation += 1;
+        sleep(REPLACEMENT_PAUSE).await;
+    }
+}
+
+struct BackendMachine {
+    address: SocketAddr,
+    control: SocketAddr,
+    zone: String,
+    service: usize,
+    node: usize,
+    clock: Clock,
+    orders: mpsc::Receiver<BackendOrder>,
+}
+
+impl BackendMachine {
+    /// `None` once no more orders can come.
+    async fn run_incarnation(&mut self, generation: u64) -> Option<()> {
+        let incarnation = Arc::new(Incarnation {
+            id: format!("i-{}-{generation}", self.node),
+            service: self.service,
+            clock: self.clock,
+            keys: Mutex::default(),
+        });
+        let Ok(listener) = listen(self.address) else {
+            return Some(());
+        };
+        // Dropped at the end, and with it every connection.
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve(incarnation.clone(), listener));
+        let mut sequence = 0;
+        let order = self
+            .heartbeat_until_order(&incarnation, &mut sequence)
+            .await?;
+        if order == BackendOrder::Replace {
+            let drained = self.heartbeat_while_draining(&incarnation, &mut sequence);
+            drop(timeout(DRAIN_TIME, drained).await);
+            let path = format!("/Instances.Deregister/{}", incarnation.id);
+            let request = http::post_json(&path, "{}".into());
+            // Without an answer it ends all the same.
+            drop(http::call_once(self.control, request, HEARTBEAT_PATIENCE).await);
+        }
+        Some(())
+    }
+
+    async fn heartbeat_until_order(
+        &mut self,
+        incarnation: &Incarnation,
+        sequence: &mut u64,
+    ) -> Option<BackendOrder> {
+        let mut connection = None;
+        loop {
+            let heartbeat = Heartbeat {
+                control: self.control,
+                address: self.address,
+                zone: &self.zone,
+                incarnation,
+                draining: false,
+            };
+            *sequence += 1;
+            let pause = heartbeat.send(&mut connection, *sequence).await;
+            tokio::select! {
+                order = self.orders.recv() => return order,
+                () = sleep(pause) => {}
+            }
+        }
+    }
+
+    async fn heartbeat_while_draining(&self, incarnation: &Incarnation, sequence: &mut u64) {
+        let mut connection = None;
+        loop {
+            let heartbeat = Heartbeat {
+                control: self.control,
+                address: self.address,
+                zone: &self.zone,
+                incarnation,
+                draining: true,
+            };
+            *sequence += 1;
+            let pause = heartbeat.send(&mut connection, *sequence).await;
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Binds again at once where an earlier incarnation has just ended.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
+/// One heartbeat and what it takes from its answer.
+struct Heartbeat<'run> {
+    control: SocketAddr,
+    address: SocketAddr,
+    zone: &'run str,
+    incarnation: &'run Incarnation,
+    draining: bool,
+}
+
+impl Heartbeat<'_> {
+    /// Sends it, and returns how long to wait before the next.
+    async fn send(&self, connection: &mut Option<HttpConnection>, sequence: u64) -> Duration {
+        let sent_at = self.incarnation.clock.now();
+        let (body, released) = self.body(sequence);
+        let path = format!("/Instances.Heartbeat/{}", self.incarnation.id);
+        let request = http::post_json(&path, body.to_string());
+        if connection.is_none() {
+            *connection = HttpConnection::open(self.control).await.ok();
+        }
+        let Some(open) = connection.as_mut() else {
+            return HEARTBEAT_INTERVAL / 4;
+        };
+        match open.call(request, HEARTBEAT_PATIENCE).await {
+            Ok(response) if response.status().is_success() => {
+                let answer = serde_json::from_slice(response.body()).unwrap_or(Value::Null);
+                self.incarnation.take_keys(sent_at, &answer, released)
+            }
+            _ => {
+                *connection = None;
+                HEARTBEAT_INTERVAL / 4
+            }
+        }
+    }
+
+    /// The body, and how many releases it tells.
+    fn body(&self, sequence: u64) -> (Value, usize) {
+        let now = self.incarnation.clock.now();
+        let mut keys = self.incarnation.keys();
+        if now > keys.held_until {
+            // What has run out is not told under the releases.
+            keys.held.clear();
+        }
+        let ranges = keys.held.iter();
+        let held: Vec<_> = ranges.map(|r| (r.first, r.last, r.fence)).collect();
+        let body = json!({
+            "address": self.address.to_string(),
+            "summary": {
+                "service_ref": SERVICES[self.incarnation.service],
+                "version": "v1", "zone": self.zone, "capacity": SLOTS,
+            },
+            "condition": {
+                "state": if self.draining { "draining" } else { "ready" },
+                "call_seq": sequence, "cold_left": "0ms",
+            },
+            "hold_list": held,
+            "released": keys.released,
+        });
+        (body, keys.released.len())
+    }
+}
+
+impl Incarnation {
+    fn keys(&self) -> MutexGuard<'_, Keys> {
+        self.keys.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn holds(&self, key: u16) -> bool {
+        let keys = self.keys();
+        let mut held = keys.held.iter();
+        self.clock.now() <= keys.held_until
+            && held.any(|range| (range.first..=range.last).contains(&key))
+    }
+
+    /// Takes over the answer's ranges and lets go of all others; returns when to say so.
+    fn take_keys(&self, sent_at: Micros, answer: &Value, told: usize) -> Duration {
+        let mut keys = self.keys();
+        keys.released.drain(..told);
+        let Some(rows) = answer["hold_list"].as_array() else {
+            return HEARTBEAT_INTERVAL;
+        };
+        let granted: Vec<HeldRange> = rows.iter().filter_map(parse_range).collect();
+        let covered = |range: &HeldRange| {
+            granted
+                .iter()
+                .any(|new| new.first <= range.first && range.last <= new.last)
+        };
+        let gone: Vec<HeldRange> = keys.held.iter().filter(|r| !covered(r)).copied().collect();
+        for range in &gone {
+            let handover = format!("{:016x}", rand::rng().random::<u64>());
+            keys.released.push((range.first, range.last, handover));
+        }
+        keys.held = granted;
+        keys.held_until = sent_at + answer["hold"].as_str().map_or(0, parse_milliseconds);
+        if gone.is_empty() {
+            HEARTBEAT_INTERVAL
+        } else {
+            RELEASE_INTERVAL
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let header = |name: &str| {
+            let value = request.headers().get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .map(String::from)
+        };
+        if request.uri().path() == "/health" {
+            let response = Response::builder().header("gradeford-instance-id", &self.id);
+            return response.body(Full::default()).unwrap_or_default();
+        }
+        let attempt_id = header("gradeford-attempt-id").unwrap_or_default();
+        let for_another =
+            header("gradeford-target-instance").is_some_and(|target| target != self.id);
+        let key = header("gradeford-shard-key").and_then(|key| key.parse().ok());
+        let not_held = self.service == 0 && !key.is_some_and(|key| self.holds(key));
+        if for_another || not_held {
+            let response = Response::builder()
+                .status(MISDIRECTED)
+                .header("gradeford-attempt-id", attempt_id)
+                .header("gradeford-not-run", "1");
+            return response.body(Full::default()).unwrap_or_default();
+        }
+        let work = rand::rng().random_range(0..=MAX_WORK_MS);
+        sleep(Duration::from_millis(work)).await;
+        let response = Response::builder()
+            .header("gradeford-attempt-id", attempt_id)
+            .header("gradeford-server-seal", &self.id)
+            .header(SERVICE_HEADER, self.service);
+        let body = Full::new(Bytes::from_static(b"done"));
+        response.body(body).unwrap_or_default()
+    }
+}
+
+fn parse_range(row: &Value) -> Option<HeldRange> {
+    Some(HeldRange {
+        first: u16::try_from(row[0].as_u64()?).ok()?,
+        last: u16::try_from(row[1].as_u64()?).ok()?,
+        fence: row[2].as_u64()?,
+    })
+}
+
+/// `4000ms` or `4s`, in microseconds.
+fn parse_milliseconds(text: &str) -> Micros {
+    let whole = |number: &str| number.parse::<f64>().unwrap_or_default();
+    match text.strip_suffix("ms") {
+        Some(number) => (whole(number) * MILLISECOND as f64) as Micros,
+        None => (whole(text.trim_end_matches('s')) * SECOND as f64) as Micros,
+    }
+}
+
+async fn serve(incarnation: Arc<Incarnation>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        drop(stream.set_nodelay(true));
+        let incarnation = incarnation.clone();
+        let service = service_fn(move |request| {
+            let incarnation = incarnation.clone();
+            async move { Ok::<_, Infallible>(incarnation.answer(request).await) }
+        });
+        connections.spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,152 @@
+//! Clients of a run. Each keeps its connection to one node and uses it until the process is gone,
+//! whether the node says that it is ready or not.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rand::Rng as _;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
+use tokio::time::sleep;
+
+use crate::backend::SERVICE_HEADER;
+use crate::clock::{Clock, Micros, SECOND};
+use crate::history::{Effect, History, Probe};
+use crate::http::{HttpConnection, HttpRequest};
+use crate::site::{Machine, OUTBOUND_PORT, Site};
+
+/// How long a client waits for an answer.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Before a client opens a connection again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(30);
+/// Routes that changed so lately are asked for more often.
+const RECENT: Micros = 6 * SECOND;
+/// The share of requests that go to such routes.
+const RECENT_SHARE: f64 = 0.8;
+const NOT_FOUND: u16 = 404;
+
+/// One client.
+pub struct Client {
+    /// The site of the run.
+    pub site: Arc<Site>,
+    /// The node that it sends to.
+    pub node: usize,
+    /// The number of the client at that node.
+    pub number: usize,
+    /// The clock of the run.
+    pub clock: Clock,
+    /// Where answers are recorded.
+    pub history: Arc<History>,
+    /// Draws routes and pauses.
+    pub rng: StdRng,
+    /// The longest pause between two requests, in milliseconds.
+    pub max_pause_ms: u64,
+}
+
+/// A route to ask for.
+struct Target {
+    route: String,
+    host: String,
+    path: String,
+}
+
+impl Client {
+    /// Sends one request after the other, for as long as the run.
+    pub async fn run(mut self) {
+        let address = self.site.address(Machine::Node(self.node), OUTBOUND_PORT);
+        let mut connection = None;
+        let mut sent = 0u64;
+        loop {
+            let pause = self.rng.random_range(0..=self.max_pause_ms);
+            sleep(Duration::from_millis(pause)).await;
+            let Some(target) = self.draw_target() else {
+                continue;
+            };
+            if connection.is_none() {
+                connection = HttpConnection::open(address).await.ok();
+            }
+            let Some(open) = connection.as_mut() else {
+                sleep(RECONNECT_PAUSE).await;
+                continue;
+            };
+            sent += 1;
+            if !self.ask(open, target, sent).await {
+                connection = None;
+            }
+        }
+    }
+
+    /// Whether the connection is still of use.
+    async fn ask(&mut self, connection: &mut HttpConnection, target: Target, sent: u64) -> bool {
+        let request = self.request(&target, sent);
+        let sent_at = self.clock.now();
+        let answer = connection.call(request, PATIENCE).await;
+        let answered_at = self.clock.now();
+        let status = answer.as_ref().map_or(0, |answer| answer.status().as_u16());
+        let mut records = self.history.lock();
+        *records.statuses.entry(status).or_default() += 1;
+        let Ok(answer) = answer else { return false };
+        let service = answer.headers().get(SERVICE_HEADER);
+        let service = service
+            .and_then(|value| value.to_str().ok())
+            .and_then(|number| number.parse().ok());
+        let effect = match service {
+            Some(service) => Some(Effect::Service(service)),
+            None => (status == NOT_FOUND).then_some(Effect::Absent),
+        };
+        if let Some(effect) = effect {
+            records.probes.push(Probe {
+                node: self.node,
+                route: target.route,
+                sent_at,
+                answered_at,
+                effect,
+            });
+        }
+        true
+    }
+
+    fn request(&mut self, target: &Target, sent: u64) -> HttpRequest {
+        let request = Request::get(&target.path)
+            .header("host", &target.host)
+            .header(
+                "gradeford-attempt-id",
+                format!("a-{}-{}-{sent}", self.node, self.number),
+            )
+            .header("gradeford-time-left-ms", PATIENCE.as_millis().to_string())
+            .header(
+                "gradeford-shard-key",
+                self.rng.random_range(0..=u16::MAX).to_string(),
+            );
+        request.body(Full::new(Bytes::new())).unwrap_or_default()
+    }
+
+    fn draw_target(&mut self) -> Option<Target> {
+        let records = self.history.lock();
+        let since = self.clock.now().saturating_sub(RECENT);
+        let recent: Vec<&String> = records
+            .routes
+            .iter()
+            .filter(|(_, route)| {
+                let latest = route.versions.last();
+                !route.is_stable && latest.is_some_and(|version| version.sent_at > since)
+            })
+            .map(|(name, _)| name)
+            .collect();
+        let name = if !recent.is_empty() && self.rng.random_bool(RECENT_SHARE) {
+            recent.choose(&mut self.rng).copied()
+        } else {
+            let all: Vec<&String> = records.routes.keys().collect();
+            all.choose(&mut self.rng).copied()
+        };
+        let (name, route) = name.and_then(|name| records.routes.get_key_value(name))?;
+        Some(Target {
+            route: name.clone(),
+            host: route.host.clone(),
+            path: format!("{}x", route.prefix),
+        })
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,175 @@
+//! Plays runs of the soak by hand: `soak --help`.
+
+use std::env;
+use std::ffi::OsString;
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use soak::Error;
+use soak::checker::Violation;
+use soak::clock::SECOND;
+use soak::operator::OperatorPace;
+use soak::plan::Profile;
+use soak::run::{self, Outcome, RunConfig};
+use tokio::runtime::Runtime;
+
+const HELP: &str = "\
+soak: gradeford-platform as real processes under drawn faults, and whether each confirmed change was in force in time
+
+usage: soak [flags]
+
+  --seed N          the first seed (1)
+  --runs N          runs, each with the next seed (1)
+  --cores N         core machines (7)
+  --nodes N         nodes, each with a backend (14)
+  --zones N         zones (4)
+  --losses N        core machines that may be lost at once (2)
+  --seconds N       how long each run lasts (40)
+  --profile NAME    calm, mixed, zone-freeze (mixed)
+  --clients N       clients at each node (2)
+  --client-pause N  the longest pause of a client, in milliseconds (120)
+  --pause N         the longest pause of an operator, in milliseconds (400)
+  --addition N      routes that the largest calls add (40)
+  --network N       the second number of all addresses, 127.N.x.y (90)
+  --folder PATH     for settings, disks and logs; kept if a rule was broken
+  --keep            keep the folder in any case
+
+exit codes: 0 no rule broken, 1 a rule broken, 2 flags or the harness at fault
+";
+
+/// Violations that are printed of one run.
+const MAX_PRINTED: usize = 12;
+
+struct Flags {
+    config: RunConfig,
+    runs: u64,
+    keep: bool,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let played = parse(arguments).and_then(play);
+    match played {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn parse(mut arguments: Arguments) -> Result<Flags, Error> {
+    let flags = |error: pico_args::Error| Error::Flags(error.to_string());
+    let mut number = |name: &'static str, default: u64| {
+        let value = arguments.opt_value_from_str::<_, u64>(name);
+        value.map(|value| value.unwrap_or(default)).map_err(flags)
+    };
+    let pace = OperatorPace {
+        max_pause_ms: number("--pause", 400)?,
+        largest_addition: number("--addition", 40)? as usize,
+    };
+    let runs = number("--runs", 1)?;
+    let mut config = RunConfig {
+        seed: number("--seed", 1)?,
+        cores: number("--cores", 7)? as usize,
+        nodes: number("--nodes", 14)? as usize,
+        zones: number("--zones", 4)?.max(1) as usize,
+        machine_losses: number("--losses", 2)? as usize,
+        duration: number("--seconds", 40)? * SECOND,
+        profile: Profile::Mixed,
+        clients_per_node: number("--clients", 2)? as usize,
+        client_pause_ms: number("--client-pause", 120)?,
+        pace,
+        network: number("--network", 90)? as u8,
+        folder: env::temp_dir().join(format!("gradeford-soak-{}", std::process::id())),
+    };
+    let profile = arguments.opt_value_from_str::<_, String>("--profile");
+    if let Some(name) = profile.map_err(flags)? {
+        let unknown = || Error::Flags(format!("no profile {name}"));
+        config.profile = Profile::parse(&name).ok_or_else(unknown)?;
+    }
+    let folder = arguments.opt_value_from_os_str("--folder", |path| {
+        Ok::<_, std::convert::Infallible>(PathBuf::from(path))
+    });
+    if let Some(folder) = folder.map_err(flags)? {
+        config.folder = folder;
+    }
+    let keep = arguments.contains("--keep");
+    let rest: Vec<OsString> = arguments.finish();
+    match rest.first() {
+        Some(unknown) => Err(Error::Flags(format!("unknown {unknown:?}"))),
+        None => Ok(Flags { config, runs, keep }),
+    }
+}
+
+/// How many runs broke a rule.
+fn play(flags: Flags) -> Result<u64, Error> {
+    let runtime = Runtime::new().map_err(Error::io("runtime"))?;
+    let mut broken = 0;
+    for run in 0..flags.runs {
+        let mut config = flags.config.clone();
+        config.seed += run;
+        config.folder = flags.config.folder.join(format!("seed-{}", config.seed));
+        let folder = config.folder.clone();
+        let seed = config.seed;
+        let outcome = runtime.block_on(run::run(config))?;
+        let is_broken = !outcome.verdict.violations.is_empty();
+        report(seed, &outcome);
+        if is_broken {
+            broken += 1;
+            print_violations(&outcome);
+            println!("  logs: {}", folder.display());
+        } else if !flags.keep {
+            drop(fs::remove_dir_all(folder));
+        }
+    }
+    println!("{} runs, {broken} with a rule broken", flags.runs);
+    Ok(broken)
+}
+
+fn report(seed: u64, outcome: &Outcome) {
+    let verdict = &outcome.verdict;
+    let records = &outcome.records;
+    let slowest = records.acknowledgement_times.iter().max();
+    println!(
+        "seed {seed}: {} violations, longest lateness in touch {} ms, {} late out of touch, {} probes, {} reads, \
+         {} routes, {} calls acknowledged, the slowest after {} ms, {} machine events, answers {:?}",
+        verdict.violations.len(),
+        verdict.longest_lateness / 1_000,
+        verdict.late_out_of_touch,
+        verdict.probes,
+        verdict.reads,
+        records.routes.len(),
+        records.acknowledgement_times.len(),
+        slowest.copied().unwrap_or_default() / 1_000,
+        records.events.len(),
+        records.statuses,
+    );
+}
+
+fn print_violations(outcome: &Outcome) {
+    for violation in outcome.verdict.violations.iter().take(MAX_PRINTED) {
+        println!("  {violation:?}");
+        let probe = match violation {
+            Violation::NotInForce { probe, .. } | Violation::WentBack { probe, .. } => probe,
+            _ => continue,
+        };
+        let near = outcome.records.events.iter().filter(|event| {
+            event.at <= probe.answered_at && event.at + 15 * SECOND >= probe.sent_at
+        });
+        let near: Vec<String> = near
+            .map(|event| {
+                let name = outcome.site.name(event.machine);
+                format!("{:.2} {name} {:?}", event.at as f64 / 1e6, event.kind)
+            })
+            .collect();
+        println!("    events: {}", near.join(", "));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,457 @@
+//! Operators of a run: they change routes, one and many at a time, send invalid calls, repeat calls
+//! and read the configuration back.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom as _;
+use rand::{Rng as _, SeedableRng as _};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::clock::{Clock, Micros};
+use crate::history::{ConfigurationRead, Effect, Finding, History, RouteHistory, RouteVersion};
+use crate::http::{self, HttpRequest};
+use crate::site::{CONTROL_PORT, Machine, SERVICES, Site};
+
+const AMEND_PATH: &str = "/Config.Amend";
+const READ_PATH: &str = "/Config.Read";
+/// An operator moves on to another machine after a second of silence.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// And after so much more for each route of a call.
+const PATIENCE_PER_ROUTE: Duration = Duration::from_millis(3);
+/// The pause before a call is sent again; it doubles up to the longest.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Calls of one operator that are under way at once.
+const MAX_CALLS_UNDER_WAY: usize = 8;
+/// Routes that stand from the start and never change.
+const STABLE_ROUTES: usize = 8;
+/// Hosts of the site.
+const HOSTS: usize = 6;
+/// How often the configuration is read back.
+const READ_INTERVAL: Duration = Duration::from_millis(250);
+const OK: u16 = 200;
+/// Answers after which a call is not sent again.
+const FINAL_REFUSALS: [u16; 5] = [400, 409, 412, 413, 422];
+
+/// The core machines that operators call, by number; they change when one is replaced.
+pub type CallableCores = watch::Receiver<Vec<usize>>;
+
+/// How an operator's time is spent.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorPace {
+    /// The longest pause between two calls, in milliseconds.
+    pub max_pause_ms: u64,
+    /// Routes that the largest calls add at once.
+    pub largest_addition: usize,
+}
+
+/// What the tasks of operators share.
+#[derive(Clone)]
+pub struct Console {
+    /// The site of the run.
+    pub site: Arc<Site>,
+    /// The clock of the run.
+    pub clock: Clock,
+    /// Where all is recorded.
+    pub history: Arc<History>,
+    /// Whom to call.
+    pub cores: CallableCores,
+}
+
+/// New versions of routes that go in one call.
+#[derive(Clone, Debug)]
+struct Change {
+    routes: Vec<(String, RouteVersion)>,
+}
+
+/// The answer that ended a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FinalAnswer {
+    status: u16,
+    at: Micros,
+}
+
+impl Console {
+    /// Sends the first configuration until it is taken.
+    pub async fn send_first_configuration(&self) {
+        let services = SERVICES.iter().enumerate().map(|(index, name)| {
+            json!({
+                "kind_tag": "service_list",
+                "metadata": { "name": name, "version": "00000001" },
+                "definition": {
+                    "health_path": "/health", "max_conns": 500, "protocol": "h1", "tls": false,
+                    "sharded": index == 0, "warm": "0s", "grant_list": "heartbeat",
+                },
+            })
+        });
+        let limits = json!({
+            "kind_tag": "limit_set",
+            "metadata": { "version": "00000001" },
+            "definition": {
+                "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+                "header_timeout": "3000ms", "idle_timeout": "15000ms",
+            },
+        });
+        let routes: Vec<(String, RouteVersion)> = (0..STABLE_ROUTES)
+            .map(|index| {
+                let effect = Effect::Service(index % SERVICES.len());
+                (format!("stable-{index}"), self.version(1, effect))
+            })
+            .collect();
+        let change = Change { routes };
+        let mut items: Vec<Value> = services.chain([limits]).collect();
+        items.extend(self.record(&change, true));
+        let body = json!({ "upserts": { "resource_list": items } }).to_string();
+        let answer = self.call(&body, change.routes.len(), 0).await;
+        self.conclude(&change, answer);
+    }
+
+    /// Reads the configuration back again and again, for as long as the run.
+    pub async fn read_back(self, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        loop {
+            sleep(READ_INTERVAL).await;
+            let Some(core) = self.draw_core(&mut rng) else {
+                continue;
+            };
+            let address = self.site.address(Machine::Core(core), CONTROL_PORT);
+            let sent_at = self.clock.now();
+            let answer = http::call_once(address, read_request(), PATIENCE).await;
+            let Ok(answer) = answer else { continue };
+            if answer.status().as_u16() == OK {
+                let read = ConfigurationRead {
+                    core,
+                    sent_at,
+                    answered_at: self.clock.now(),
+                    versions: route_versions(answer.body()),
+                };
+                self.history.lock().reads.push(read);
+            }
+        }
+    }
+
+    fn version(&self, version: u64, effect: Effect) -> RouteVersion {
+        RouteVersion {
+            version,
+            effect,
+            sent_at: self.clock.now(),
+            acknowledged_at: None,
+        }
+    }
+
+    /// Records the versions of a change as sent now, and returns those that are set as items.
+    fn record(&self, change: &Change, is_stable: bool) -> Vec<Value> {
+        let mut records = self.history.lock();
+        let mut items = Vec::new();
+        for (name, version) in &change.routes {
+            let host = format!("host-{}.example", name.len() * 7 % HOSTS);
+            let prefix = format!("/{name}/");
+            let entry = records.routes.entry(name.clone());
+            let route = entry.or_insert_with(|| RouteHistory {
+                host,
+                prefix,
+                versions: Vec::new(),
+                is_stable,
+            });
+            route.versions.push(*version);
+            items.extend(route_item(name, route, version));
+        }
+        items
+    }
+
+    /// Sends a call, unchanged, to one machine after the other until an answer ends it.
+    async fn call(&self, body: &str, routes: usize, seed: u64) -> FinalAnswer {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let patience = PATIENCE + PATIENCE_PER_ROUTE * routes as u32;
+        let mut pause = FIRST_RETRY_PAUSE;
+        loop {
+            if let Some(core) = self.draw_core(&mut rng) {
+                let address = self.site.address(Machine::Core(core), CONTROL_PORT);
+                let request = http::post_json(AMEND_PATH, body.to_string());
+                let answer = http::call_once(address, request, patience).await;
+                let status = answer.map_or(0, |answer| answer.status().as_u16());
+                if status == OK || FINAL_REFUSALS.contains(&status) {
+                    let at = self.clock.now();
+                    return FinalAnswer { status, at };
+                }
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
+        }
+    }
+
+    fn draw_core(&self, rng: &mut StdRng) -> Option<usize> {
+        self.cores.borrow().choose(rng).copied()
+    }
+
+    fn conclude(&self, change: &Change, answer: FinalAnswer) {
+        for (route, version) in &change.routes {
+            if answer.status == OK {
+                self.history.acknowledged(route, version.version, answer.at);
+            }
+        }
+        let sent_at = change.routes.first().map(|(_, version)| version.sent_at);
+        let mut records = self.history.lock();
+        if answer.status == OK {
+            let took = answer.at - sent_at.unwrap_or(answer.at);
+            records.acknowledgement_times.push(took);
+        } else {
+            let route = change.routes.first().map(|(route, _)| route.clone());
+            records.findings.push(Finding::ValidRefused {
+                route: route.unwrap_or_default(),
+                status: answer.status,
+            });
+        }
+    }
+}
+
+/// One operator, who changes routes of its own.
+pub struct Operator {
+    console: Console,
+    /// In the names of its routes.
+    number: usize,
+    pace: OperatorPace,
+    rng: StdRng,
+    /// Its routes with their latest versions.
+    routes: BTreeMap<String, RouteVersion>,
+    /// Routes with a call under way.
+    busy: BTreeSet<String>,
+    added: usize,
+}
+
+/// A call that has ended, and the change it carried; `None` for calls that change nothing.
+type Ended = Option<Change>;
+
+impl Operator {
+    /// An operator, drawn from a seed.
+    pub fn new(console: Console, number: usize, pace: OperatorPace, seed: u64) -> Operator {
+        Operator {
+            console,
+            number,
+            pace,
+            rng: StdRng::seed_from_u64(seed),
+            routes: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            added: 0,
+        }
+    }
+
+    /// Sends one call after the other, several at once, for as long as the run.
+    pub async fn run(mut self) {
+        let mut calls: JoinSet<Ended> = JoinSet::new();
+        loop {
+            while let Some(ended) = calls.try_join_next() {
+                self.finish(ended.ok().flatten());
+            }
+            if calls.len() >= MAX_CALLS_UNDER_WAY {
+                if let Some(ended) = calls.join_next().await {
+                    self.finish(ended.ok().flatten());
+                }
+                continue;
+            }
+            // A burst is several calls without a pause.
+            let burst = if self.rng.random_bool(0.1) { 8 } else { 1 };
+            for _ in 0..burst {
+                self.start_call(&mut calls);
+            }
+            let pause = self.rng.random_range(0..=self.pace.max_pause_ms);
+            sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    fn finish(&mut self, ended: Ended) {
+        for (route, _) in ended.into_iter().flat_map(|change| change.routes) {
+            self.busy.remove(&route);
+        }
+    }
+
+    fn start_call(&mut self, calls: &mut JoinSet<Ended>) {
+        match self.rng.random_range(0..100) {
+            0..8 => self.send_invalid(calls),
+            8..12 => {
+                let count = self.pace.largest_addition;
+                self.add_routes(calls, count);
+            }
+            12..45 => {
+                let count = self.rng.random_range(1..=3);
+                self.add_routes(calls, count);
+            }
+            _ => self.change_routes(calls),
+        }
+    }
+
+    fn add_routes(&mut self, calls: &mut JoinSet<Ended>, count: usize) {
+        let routes = (0..count)
+            .map(|_| {
+                self.added += 1;
+                let name = format!("op{}-{}", self.number, self.added);
+                let effect = Effect::Service(self.rng.random_range(0..SERVICES.len()));
+                (name, self.console.version(1, effect))
+            })
+            .collect();
+        self.send(calls, Change { routes });
+    }
+
+    fn change_routes(&mut self, calls: &mut JoinSet<Ended>) {
+        let free: Vec<String> = self
+            .routes
+            .keys()
+            .filter(|name| !self.busy.contains(*name))
+            .cloned()
+            .collect();
+        let count = self.rng.random_range(1..=4);
+        let chosen = free.choose_multiple(&mut self.rng, count).cloned();
+        let chosen: Vec<String> = chosen.collect();
+        let routes = chosen
+            .into_iter()
+            .map(|name| {
+                let before = self.routes[&name];
+                let version = before.version + self.rng.random_range(1..=5);
+                let effect = self.other_effect(before.effect);
+                (name, self.console.version(version, effect))
+            })
+            .collect();
+        self.send(calls, Change { routes });
+    }
+
+    fn other_effect(&mut self, before: Effect) -> Effect {
+        match before {
+            Effect::Absent => Effect::Service(self.rng.random_range(0..SERVICES.len())),
+            Effect::Service(_) if self.rng.random_bool(0.3) => Effect::Absent,
+            Effect::Service(service) => Effect::Service((service + 1) % SERVICES.len()),
+        }
+    }
+
+    fn send(&mut self, calls: &mut JoinSet<Ended>, change: Change) {
+        if change.routes.is_empty() {
+            return;
+        }
+        for (name, version) in &change.routes {
+            self.busy.insert(name.clone());
+            self.routes.insert(name.clone(), *version);
+        }
+        let console = self.console.clone();
+        let items = console.record(&change, false);
+        let dropped: Vec<Value> = change
+            .routes
+            .iter()
+            .filter(|(_, version)| version.effect == Effect::Absent)
+            .map(|(name, version)| json!({ "name": name, "version": hex(version.version) }))
+            .collect();
+        let body = json!({
+            "upserts": { "resource_list": items },
+            "removals": { "route_list": dropped },
+        })
+        .to_string();
+        let seed = self.rng.random();
+        let repeats = usize::from(self.rng.random_bool(0.1));
+        calls.spawn(async move {
+            let answer = console.call(&body, change.routes.len(), seed).await;
+            console.conclude(&change, answer);
+            for repeat in 0..repeats {
+                // What was taken is confirmed again.
+                let seed = seed.wrapping_add(repeat as u64 + 1);
+                let answer = console.call(&body, change.routes.len(), seed).await;
+                if answer.status != OK {
+                    console.conclude(&change, answer);
+                }
+            }
+            Some(change)
+        });
+    }
+
+    fn send_invalid(&mut self, calls: &mut JoinSet<Ended>) {
+        let mut definition = route_definition("invalid.example", "/invalid/", 0);
+        let fault = match self.rng.random_range(0..4) {
+            0 => {
+                definition["service_ref"] = json!("nowhere");
+                "names an unknown service"
+            }
+            1 => {
+                definition["timeout"] = json!("0ms");
+                "has no time"
+            }
+            2 => {
+                definition["host_name"] = json!("");
+                "has no host"
+            }
+            _ => {
+                definition["timeout"] = json!("601s");
+                "is over ten minutes"
+            }
+        };
+        let item = json!({
+            "kind_tag": "route_list",
+            "metadata": { "name": "invalid", "version": "00000001" },
+            "definition": definition,
+        });
+        let body = json!({ "upserts": { "resource_list": [item] } }).to_string();
+        let console = self.console.clone();
+        let seed = self.rng.random();
+        calls.spawn(async move {
+            let answer = console.call(&body, 1, seed).await;
+            if answer.status == OK {
+                let finding = Finding::InvalidAcknowledged {
+                    fault: fault.into(),
+                };
+                console.history.lock().findings.push(finding);
+            }
+            None
+        });
+    }
+}
+
+fn hex(version: u64) -> String {
+    format!("{version:08x}")
+}
+
+fn route_definition(host: &str, prefix: &str, service: usize) -> Value {
+    json!({
+        "host_name": host, "path_prefix": prefix, "variant": "pure",
+        "timeout": "1500ms", "target": "500ms", "priority": 1,
+        "service_ref": SERVICES[service], "max_tries": 2,
+    })
+}
+
+/// The item of a version that sets its route; `None` for one that drops it.
+fn route_item(name: &str, route: &RouteHistory, version: &RouteVersion) -> Option<Value> {
+    let Effect::Service(service) = version.effect else {
+        return None;
+    };
+    Some(json!({
+        "kind_tag": "route_list",
+        "metadata": { "name": name, "version": hex(version.version) },
+        "definition": route_definition(&route.host, &route.prefix, service),
+    }))
+}
+
+fn read_request() -> HttpRequest {
+    let request = Request::get(READ_PATH).header("host", "gradeford");
+    request.body(Full::new(Bytes::new())).unwrap_or_default()
+}
+
+/// The versions of all routes in an answer; a route that cannot be read is missing.
+fn route_versions(body: &[u8]) -> BTreeMap<String, u64> {
+    let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+    let items = body["upserts"]["resource_list"]
+        .as_array()
+        .or_else(|| body["resource_list"].as_array());
+    let routes = items.into_iter().flatten().filter_map(|item| {
+        if item["kind_tag"] != "route_list" {
+            return None;
+        }
+        let name = item["metadata"]["name"].as_str()?;
+        let version = item["metadata"]["version"].as_str()?;
+        Some((name.to_string(), u64::from_str_radix(version, 16).ok()?))
+    });
+    routes.collect()
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,149 @@
+//! One run from its seed to its verdict.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::Error;
+use crate::backend;
+use crate::checker::{self, Verdict};
+use crate::client::Client;
+use crate::clock::{Clock, Micros, SECOND};
+use crate::history::{History, Records};
+use crate::operator::{Console, Operator, OperatorPace};
+use crate::plan::{self, Profile};
+use crate::process;
+use crate::site::{Bounds, Site};
+use crate::supervisor::Supervisor;
+
+/// The first configuration is acknowledged within this, or the run is given up.
+const FIRST_CONFIGURATION_TIMEOUT_S: u64 = 30;
+const OPERATORS: usize = 2;
+/// Orders that a backend may not have taken up yet.
+const ORDER_QUEUE: usize = 1;
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct RunConfig {
+    /// Draws everything.
+    pub seed: u64,
+    /// Core machines.
+    pub cores: usize,
+    /// Nodes, each with a backend.
+    pub nodes: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Core machines that may be lost at once.
+    pub machine_losses: usize,
+    /// How long it lasts, in microseconds.
+    pub duration: Micros,
+    /// Which faults.
+    pub profile: Profile,
+    /// Clients at each node.
+    pub clients_per_node: usize,
+    /// The longest pause of a client between two requests, in milliseconds.
+    pub client_pause_ms: u64,
+    /// How fast operators send changes.
+    pub pace: OperatorPace,
+    /// The second number of all addresses.
+    pub network: u8,
+    /// Folder for settings, disks and logs.
+    pub folder: PathBuf,
+}
+
+/// What came of a run.
+pub struct Outcome {
+    /// What the checker says.
+    pub verdict: Verdict,
+    /// All that it read.
+    pub records: Records,
+    /// The site, with the places of the logs.
+    pub site: Site,
+}
+
+/// Carries a run out.
+///
+/// # Errors
+///
+/// If the harness itself fails, or no configuration is ever taken.
+pub async fn run(config: RunConfig) -> Result<Outcome, Error> {
+    let program = process::program()?;
+    let site = Arc::new(site_of(&config));
+    fs::create_dir_all(&site.folder).map_err(Error::io("folder of the run"))?;
+    let clock = Clock::start();
+    let history = Arc::new(History::default());
+    let mut rng = StdRng::seed_from_u64(config.seed);
+    let mut tasks = JoinSet::new();
+    let mut orders = BTreeMap::new();
+    for node in 0..site.nodes {
+        let (sender, receiver) = mpsc::channel(ORDER_QUEUE);
+        orders.insert(node, sender);
+        tasks.spawn(backend::run(site.clone(), node, clock, receiver));
+    }
+    let supervisor = Supervisor::new(site.clone(), clock, history.clone(), program, orders);
+    let supervisor = Arc::new(supervisor);
+    supervisor.start_all().await?;
+    tasks.spawn(supervisor.clone().watch());
+    let console = Console {
+        site: site.clone(),
+        clock,
+        history: history.clone(),
+        cores: supervisor.callable_cores(),
+    };
+    let first = console.send_first_configuration();
+    let first = timeout(Duration::from_secs(FIRST_CONFIGURATION_TIMEOUT_S), first).await;
+    first.map_err(|_| Error::NoFirstConfiguration(FIRST_CONFIGURATION_TIMEOUT_S))?;
+    for node in 0..site.nodes {
+        for number in 0..config.clients_per_node {
+            let client = Client {
+                site: site.clone(),
+                node,
+                number,
+                clock,
+                history: history.clone(),
+                rng: StdRng::seed_from_u64(rng.random()),
+                max_pause_ms: config.client_pause_ms,
+            };
+            tasks.spawn(client.run());
+        }
+    }
+    for number in 0..OPERATORS {
+        let operator = Operator::new(console.clone(), number, config.pace, rng.random());
+        tasks.spawn(operator.run());
+    }
+    tasks.spawn(console.read_back(rng.random()));
+    let faults = plan::draw(config.seed, &site, config.profile, config.duration);
+    tasks.spawn(supervisor.perform(faults));
+    clock.sleep_until(config.duration).await;
+    // With the tasks go the supervisor and all processes.
+    tasks.shutdown().await;
+    let records = history.lock().clone();
+    let verdict = checker::check(&records, &site.bounds, site.cores);
+    let site = Site::clone(&site);
+    Ok(Outcome {
+        verdict,
+        records,
+        site,
+    })
+}
+
+fn site_of(config: &RunConfig) -> Site {
+    Site {
+        cores: config.cores,
+        spare_cores: (config.duration / (20 * SECOND)) as usize,
+        nodes: config.nodes,
+        zones: config.zones,
+        machine_losses: config.machine_losses,
+        network: config.network,
+        folder: config.folder.clone(),
+        bounds: Bounds::default(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/supervisor.rs
@@ -0,0 +1,296 @@
+//! Carries out the planned faults on the processes of a run. Faults of different machines overlap;
+//! those of one machine come one after the other.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tokio::sync::{Mutex, mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::Error;
+use crate::backend::BackendOrder;
+use crate::clock::{Clock, Micros};
+use crate::history::{EventKind, Finding, History};
+use crate::plan::{Fault, PlannedFault};
+use crate::process::Process;
+use crate::site::{Machine, Site};
+
+/// Between two looks at whether processes still run.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+/// A process that ended by itself is started again after so long.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// The time for a graceful shutdown, as the settings name it; SIGKILL follows.
+const GRACE: Duration = Duration::from_secs(6);
+/// Signals of a series come so far apart.
+const SERIES_PAUSE: Duration = Duration::from_millis(120);
+/// How many core machines a settings file names.
+const SEED_COUNT: usize = 3;
+
+/// A machine and the process on it, if one runs.
+struct MachineSlot {
+    process: Option<Process>,
+    /// Nothing runs here any more, or not yet.
+    is_vacant: bool,
+}
+
+/// Starts, signals and ends the processes of a run.
+pub struct Supervisor {
+    site: Arc<Site>,
+    clock: Clock,
+    history: Arc<History>,
+    program: PathBuf,
+    slots: BTreeMap<Machine, Mutex<MachineSlot>>,
+    backends: BTreeMap<usize, mpsc::Sender<BackendOrder>>,
+    /// Core machines that operators may call.
+    cores: watch::Sender<Vec<usize>>,
+}
+
+impl Supervisor {
+    /// A supervisor of machines on which nothing runs yet.
+    pub fn new(
+        site: Arc<Site>,
+        clock: Clock,
+        history: Arc<History>,
+        program: PathBuf,
+        backends: BTreeMap<usize, mpsc::Sender<BackendOrder>>,
+    ) -> Supervisor {
+        let cores = (0..site.cores + site.spare_cores).map(Machine::Core);
+        let machines = cores.chain((0..site.nodes).map(Machine::Node));
+        let slots = machines.map(|machine| {
+            let slot = MachineSlot {
+                process: None,
+                is_vacant: true,
+            };
+            (machine, Mutex::new(slot))
+        });
+        Supervisor {
+            slots: slots.collect(),
+            cores: watch::Sender::new((0..site.cores).collect()),
+            site,
+            clock,
+            history,
+            program,
+            backends,
+        }
+    }
+
+    /// The core machines that stand, as operators know them.
+    pub fn callable_cores(&self) -> watch::Receiver<Vec<usize>> {
+        self.cores.subscribe()
+    }
+
+    /// Starts every machine of the first start, cores and nodes mixed.
+    ///
+    /// # Errors
+    ///
+    /// If a settings file cannot be written or a process cannot be started.
+    pub async fn start_all(&self) -> Result<(), Error> {
+        for (machine, slot) in &self.slots {
+            if matches!(machine, Machine::Core(core) if *core >= self.site.cores) {
+                continue;
+            }
+            let mut slot = slot.lock().await;
+            slot.is_vacant = false;
+            self.start(*machine, &mut slot, true)?;
+        }
+        Ok(())
+    }
+
+    fn start(&self, machine: Machine, slot: &mut MachineSlot, first: bool) -> Result<(), Error> {
+        let seeds: Vec<usize> = self
+            .cores
+            .borrow()
+            .iter()
+            .take(SEED_COUNT)
+            .copied()
+            .collect();
+        let settings = self.site.settings(machine, &seeds, first);
+        let path = self.site.settings_path(machine);
+        fs::write(&path, settings.to_string()).map_err(Error::io("settings file"))?;
+        let role = match machine {
+            Machine::Core(core) => {
+                let disk = self.site.disk(core);
+                fs::create_dir_all(disk).map_err(Error::io("disk folder"))?;
+                "core"
+            }
+            Machine::Node(_) => "node",
+        };
+        let log = self.site.log_path(machine);
+        slot.process = Some(Process::start(&self.program, role, &path, &log)?);
+        self.record(machine, EventKind::Started);
+        Ok(())
+    }
+
+    fn record(&self, machine: Machine, kind: EventKind) {
+        self.history.machine_event(self.clock.now(), machine, kind);
+    }
+
+    /// Starts again, for as long as the run, what ended by itself.
+    pub async fn watch(self: Arc<Self>) {
+        loop {
+            sleep(WATCH_INTERVAL).await;
+            for (machine, slot) in &self.slots {
+                // A machine whose fault is under way is looked at later.
+                let Ok(mut slot) = slot.try_lock() else {
+                    continue;
+                };
+                let ended = slot.process.as_mut().and_then(Process::ended);
+                let Some(status) = ended else { continue };
+                self.record(*machine, EventKind::EndedByItself);
+                // One that finds its place taken empties its disk and ends with success.
+                if !status.success() {
+                    let finding = Finding::ProcessEnded {
+                        machine: *machine,
+                        status: status.to_string(),
+                    };
+                    self.history.lock().findings.push(finding);
+                }
+                sleep(RESTART_DELAY).await;
+                // A failure shows as a machine that stays away.
+                drop(self.start(*machine, &mut slot, false));
+            }
+        }
+    }
+
+    /// Carries out all faults at their times, and returns once the last one is over.
+    pub async fn perform(self: Arc<Self>, faults: Vec<PlannedFault>) {
+        let mut under_way = JoinSet::new();
+        for planned in faults {
+            self.clock.sleep_until(planned.at).await;
+            under_way.spawn(self.clone().perform_one(planned));
+        }
+        under_way.join_all().await;
+    }
+
+    async fn perform_one(self: Arc<Self>, planned: PlannedFault) {
+        let machine = planned.machine;
+        match planned.fault {
+            Fault::ReplaceBackend => return self.order_backend(machine, BackendOrder::Replace),
+            Fault::CrashBackend => return self.order_backend(machine, BackendOrder::Crash),
+            _ => {}
+        }
+        let Some(slot) = self.slots.get(&machine) else {
+            return;
+        };
+        let mut slot = slot.lock().await;
+        if slot.is_vacant {
+            return;
+        }
+        match planned.fault {
+            Fault::Freeze(length) => self.freeze(machine, &slot, length).await,
+            Fault::Kill(away) => {
+                self.kill(machine, &mut slot);
+                self.restart_after(machine, &mut slot, away).await;
+            }
+            Fault::Stop(away) => {
+                self.stop(machine, &mut slot, GRACE).await;
+                self.restart_after(machine, &mut slot, away).await;
+            }
+            Fault::StopCutShort(after) => {
+                self.stop(machine, &mut slot, Duration::from_micros(after))
+                    .await;
+                self.restart_after(machine, &mut slot, 0).await;
+            }
+            Fault::Reload(times) => {
+                for _ in 0..times {
+                    self.signal(machine, &slot, Signal::HUP, EventKind::Reloaded);
+                    sleep(SERIES_PAUSE).await;
+                }
+            }
+            Fault::RestartSeries(times) => {
+                for _ in 0..times {
+                    self.kill(machine, &mut slot);
+                    self.restart_after(machine, &mut slot, 0).await;
+                    sleep(SERIES_PAUSE).await;
+                }
+            }
+            Fault::LoseDisk(away) => {
+                self.kill(machine, &mut slot);
+                self.empty_disk(machine);
+                self.restart_after(machine, &mut slot, away).await;
+            }
+            Fault::Replace { spare } => {
+                self.kill(machine, &mut slot);
+                slot.is_vacant = true;
+                drop(slot);
+                self.add_core(machine, spare).await;
+            }
+            Fault::ReplaceBackend | Fault::CrashBackend => {}
+        }
+    }
+
+    fn order_backend(&self, machine: Machine, order: BackendOrder) {
+        if let Machine::Node(node) = machine
+            && let Some(backend) = self.backends.get(&node)
+        {
+            // One that is busy with an earlier order drops this one.
+            let _ = backend.try_send(order);
+        }
+    }
+
+    fn signal(&self, machine: Machine, slot: &MachineSlot, signal: Signal, kind: EventKind) {
+        if let Some(process) = &slot.process {
+            self.record(machine, kind);
+            process.signal(signal);
+        }
+    }
+
+    async fn freeze(&self, machine: Machine, slot: &MachineSlot, length: Micros) {
+        self.signal(machine, slot, Signal::STOP, EventKind::Frozen);
+        sleep(Duration::from_micros(length)).await;
+        self.signal(machine, slot, Signal::CONT, EventKind::Thawed);
+    }
+
+    fn kill(&self, machine: Machine, slot: &mut MachineSlot) {
+        self.record(machine, EventKind::Killed);
+        slot.process = None;
+    }
+
+    /// SIGTERM, and SIGKILL if it still runs after `grace`.
+    async fn stop(&self, machine: Machine, slot: &mut MachineSlot, grace: Duration) {
+        self.signal(machine, slot, Signal::TERM, EventKind::Terminated);
+        let Some(process) = slot.process.as_mut() else {
+            return;
+        };
+        let ended = async {
+            while process.ended().is_none() {
+                sleep(WATCH_INTERVAL / 5).await;
+            }
+        };
+        drop(tokio::time::timeout(grace, ended).await);
+        self.kill(machine, slot);
+    }
+
+    async fn restart_after(&self, machine: Machine, slot: &mut MachineSlot, away: Micros) {
+        sleep(Duration::from_micros(away)).await;
+        // A failure shows as a machine that stays away.
+        drop(self.start(machine, slot, false));
+    }
+
+    fn empty_disk(&self, machine: Machine) {
+        if let Machine::Core(core) = machine {
+            self.record(machine, EventKind::DiskLost);
+            // It is made anew with the next start.
+            drop(fs::remove_dir_all(self.site.disk(core)));
+        }
+    }
+
+    /// A new machine takes the place of one that is gone; operators learn of it.
+    async fn add_core(&self, gone: Machine, spare: usize) {
+        self.cores.send_modify(|cores| {
+            cores.retain(|core| Machine::Core(*core) != gone);
+            cores.push(spare);
+        });
+        let machine = Machine::Core(spare);
+        if let Some(slot) = self.slots.get(&machine) {
+            let mut slot = slot.lock().await;
+            slot.is_vacant = false;
+            drop(self.start(machine, &mut slot, false));
+        }
+    }
+}
