Sight: a node's log says why a replica was left, and how long none was followed

The hypotheses of the incident could not be told apart by the logs. 'replica left' names its reason; 'followed again' the gap.

--- a/crates/control/src/updates/follower.rs
+++ b/crates/control/src/updates/follower.rs
@@ -58,6 +58,8 @@
     follower: StateFollower,
     /// How often it left a replica of another zone for one of its own.
     zone_rechecks: u32,
+    /// Why the latest replica was left, and when.
+    left: Option<(LeaveReason, Microseconds)>,
     logger: Logger,
 }
 
@@ -78,6 +80,7 @@
         changes,
         follower: StateFollower::default(),
         zone_rechecks: 0,
+        left: None,
         logger,
     };
     tokio::spawn(task.run());
@@ -114,6 +117,19 @@
     Proved,
 }
 
+/// Why a replica was left.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LeaveReason {
+    /// The connection ended.
+    Closed,
+    /// A request stayed without a proof for too long.
+    NoProof,
+    /// An update did not fit what was held.
+    Inconsistent,
+    /// A replica of the own zone may be back.
+    OwnZone,
+}
+
 /// Which replica is next, and how many attempts in a row reached none.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct ReplicaRotation {
@@ -178,18 +194,21 @@
         let upstream = peer_handshake.node_name.clone();
         discovery::merge(&self.known_replicas, peer_handshake.known_replicas.clone());
         slog::info!(self.logger, "following a replica"; "upstream" => &upstream);
-        let attempt = self.follow(connection).await;
+        let (attempt, reason) = self.follow(connection).await;
         slog::info!(self.logger, "replica left";
             "upstream" => upstream,
+            "reason" => ?reason,
             "proved" => attempt == Attempt::Proved);
+        self.left.get_or_insert((reason, model::now()));
         attempt
     }
 
     /// Follows until the connection is of no use any more.
-    async fn follow(&mut self, mut connection: Connection) -> Attempt {
+    async fn follow(&mut self, mut connection: Connection) -> (Attempt, LeaveReason) {
         let is_elsewhere = connection.peer_handshake.zone != self.config.zone;
         let held = self.follower.begin_connection();
         let mut attempt = Attempt::Unproved;
+        let mut reason = LeaveReason::Closed;
         let request = Frame::FollowClusterState {
             held_position: held,
         };
@@ -200,24 +219,32 @@
         while usable {
             usable = tokio::select! {
                 frame = connection.receiver.recv() => match frame {
-                    Some(frame) => self.handle_frame(frame, &mut attempt),
+                    Some(frame) => {
+                        let fits = self.handle_frame(frame, &mut attempt);
+                        if !fits {
+                            reason = LeaveReason::Inconsistent;
+                        }
+                        fits
+                    }
                     None => false,
                 },
                 _ = proof_ticks.tick() => {
                     let now = model::now();
                     if is_elsewhere && self.own_zone_is_better(now, began_at) {
                         self.zone_rechecks += 1;
+                        reason = LeaveReason::OwnZone;
                         break;
                     }
                     let proves = self.proves_in_time(now);
                     if !proves {
                         attempt = Attempt::Unproved;
+                        reason = LeaveReason::NoProof;
                     }
                     proves && connection.sender.try_send(self.follower.request_proof(now)).is_ok()
                 }
             };
         }
-        attempt
+        (attempt, reason)
     }
 
     /// A replica of the own zone became known, or may be back: updates that cross no zone are
@@ -242,6 +269,7 @@
         let outcome = self.follower.handle_frame(frame);
         if outcome == UpdateOutcome::Verified {
             *attempt = Attempt::Proved;
+            self.log_gap();
         }
         if outcome != UpdateOutcome::Ignored
             && let Some(verified_state) = self.follower.verified()
@@ -251,4 +279,13 @@
         }
         outcome != UpdateOutcome::Inconsistent
     }
+
+    /// Says how long no replica was followed that proves what it sends.
+    fn log_gap(&mut self) {
+        if let Some((reason, left_at)) = self.left.take() {
+            slog::info!(self.logger, "followed again";
+                "left_because" => ?reason,
+                "gap_us" => model::now() - left_at);
+        }
+    }
 }
--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -1,6 +1,7 @@
 //! Why a run could not be carried out.
 
 use std::io;
+use std::path::PathBuf;
 
 /// What went wrong with the harness itself, not with what it judges.
 #[derive(Debug, thiserror::Error)]
@@ -19,6 +20,9 @@
     /// The first configuration was not acknowledged in time.
     #[error("the first configuration was not acknowledged within {0} s")]
     NoFirstConfiguration(u64),
+    /// The folder of the run holds something already.
+    #[error("{} exists already", .0.display())]
+    FolderInUse(PathBuf),
     /// A flag of the command line.
     #[error("flags: {0}")]
     Flags(String),
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -173,8 +173,9 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let patience = PATIENCE + PATIENCE_PER_ROUTE * routes as u32;
         let mut pause = FIRST_RETRY_PAUSE;
+        let mut turn = rng.random_range(0..self.site.cores);
         loop {
-            if let Some(core) = self.draw_core(&mut rng) {
+            if let Some(core) = self.core_in_turn(turn) {
                 let address = self.site.address(Machine::Core(core), CONTROL_PORT);
                 let request = http::post_json(AMEND_PATH, body.to_string());
                 let answer = http::call_once(address, request, patience).await;
@@ -184,6 +185,7 @@
                     return FinalAnswer { status, at };
                 }
             }
+            turn += 1;
             sleep(pause).await;
             pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
         }
@@ -193,6 +195,12 @@
         self.cores.borrow().choose(rng).copied()
     }
 
+    /// A call that got no clear answer goes to the next machine.
+    fn core_in_turn(&self, turn: usize) -> Option<usize> {
+        let cores = self.cores.borrow();
+        cores.get(turn % cores.len().max(1)).copied()
+    }
+
     fn conclude(&self, change: &Change, answer: FinalAnswer) {
         for (route, version) in &change.routes {
             if answer.status == OK {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -77,6 +77,10 @@
 pub async fn run(config: RunConfig) -> Result<Outcome, Error> {
     let program = process::program()?;
     let site = Arc::new(site_of(&config));
+    // A disk of an earlier run would be taken for this one's.
+    if site.folder.exists() {
+        return Err(Error::FolderInUse(site.folder.clone()));
+    }
     fs::create_dir_all(&site.folder).map_err(Error::io("folder of the run"))?;
     let clock = Clock::start();
     let history = Arc::new(History::default());
