--- /dev/null
+++ b/crates/control/tests/following/main.rs
@@ -0,0 +1,6 @@
+//! Nodes that follow the cluster state while replicas freeze, die and come back.
+
+mod regrouped_updates;
+mod replicas;
+mod silent_zone;
+mod unsent_update;
