Mend: a node leaves a replica that works only for one that has proved

Cause: the follower dropped its connection before it had another, and tried replicas one after the other, a second for each that accepts and says nothing: as long as half of the time in which a change has to be in force. Two silent replicas of the own zone made 2.1 s without updates, at the loss and again each time it looked for the own zone. Beside it, updates of a replica that groups its entries otherwise could not be used, and a proof for a position that was never received was ignored.

The choice of replicas is now a module without I/O (updates::upstreams): the one relied on is kept until another has proved what it sent, replicas are tried beside each other 0.3 s apart, one that was silent comes last for a while, the second of a search is of another zone, and a look at the own zone goes on beside the connection that works. An update that begins below what is held and ends above it is used. A proof of what was never received ends the connection.

The expectation 'Ignored' for a proof of what was never received is now 'Inconsistent', still not verified: it was the fault itself.

--- a/crates/control/src/updates/follower.rs
+++ b/crates/control/src/updates/follower.rs
@@ -1,32 +1,28 @@
-//! The task of a node that follows the cluster state: one replica at a time, those of the own zone
-//! first (design 11.3).
+//! The task of a node that follows the cluster state: it keeps the connections that [`Upstreams`]
+//! asks for, and hands what comes on them to [`StateFollower`] (design 11.3).
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use mencius::ReplicaId;
 use model::Microseconds;
 use slog::Logger;
-use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval, sleep};
-use transport::{Connection, Frame, Handshake, KnownReplica};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+use transport::{Frame, FrameSender, Handshake, KnownReplica};
 
+use super::upstreams::{
+    self, Action, Candidate, LeaveReason, ReplicaKey, UpstreamId, UpstreamTiming, Upstreams,
+};
 use super::verification::{SharedVerifiedState, StateFollower, UpdateOutcome};
 use crate::membership::discovery::{self, KnownReplicas};
 
-#[cfg(test)]
-mod tests;
-
-/// A node that follows a replica of another zone looks for one of its own after so long; twice as
-/// long with every time that it did, up to 2 to the power of [`MAX_RECHECK_DOUBLINGS`].
-const OWN_ZONE_RECHECK_AFTER: Microseconds = 2_000_000;
-const MAX_RECHECK_DOUBLINGS: u32 = 4;
-
-/// Between two connections, and how much longer for each whole round without a proof.
-const RECONNECT_PAUSE_MS: u64 = 20;
-const PAUSE_PER_ROUND_MS: u64 = 150;
-const MAX_PAUSED_ROUNDS: usize = 4;
+/// Events of connections that wait for the task. A connection that finds it full waits.
+const EVENT_QUEUE_CAPACITY: usize = 64;
+/// Proofs that come further apart than this are logged: the node was without updates meanwhile.
+const LONG_GAP: Microseconds = 1_200_000;
 
 /// The settings of a follower. All times are in microseconds.
 pub struct FollowerConfig {
@@ -36,7 +32,8 @@
     pub zone: String,
     /// Between two requests for a proof.
     pub proof_interval: Microseconds,
-    /// A replica that leaves a request without a proof for so long is left for another.
+    /// A replica that leaves a request without a proof for so long is not relied on: another one
+    /// is looked for.
     pub proof_timeout: Microseconds,
 }
 
@@ -49,6 +46,31 @@
     pub changes: watch::Receiver<u64>,
 }
 
+/// What happens on a connection.
+enum Event {
+    Connected {
+        handshake: Box<Handshake>,
+        sender: FrameSender,
+    },
+    Received(Frame),
+    Ended(LeaveReason),
+}
+
+/// A connection, or an attempt to open one, as the task holds it.
+struct Link {
+    /// The name of the replica, once it is known.
+    name: String,
+    sender: Option<FrameSender>,
+    /// Ends the task that reads from the connection, and with it the connection.
+    reader: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.reader.abort();
+    }
+}
+
 struct FollowerTask<H> {
     config: FollowerConfig,
     known_replicas: KnownReplicas,
@@ -56,10 +78,10 @@
     verified_state: SharedVerifiedState,
     changes: watch::Sender<u64>,
     follower: StateFollower,
-    /// How often it left a replica of another zone for one of its own.
-    zone_rechecks: u32,
-    /// Why the latest replica was left, and when.
-    left: Option<(LeaveReason, Microseconds)>,
+    upstreams: Upstreams,
+    links: BTreeMap<UpstreamId, Link>,
+    events: mpsc::Sender<(UpstreamId, Event)>,
+    last_proof_at: Option<Microseconds>,
     logger: Logger,
 }
 
@@ -72,6 +94,11 @@
 ) -> FollowerHandle {
     let (changes, watched_changes) = watch::channel(0);
     let verified_state = SharedVerifiedState::default();
+    let (events, incoming) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let timing = UpstreamTiming {
+        proof_interval: config.proof_interval,
+        proof_timeout: config.proof_timeout,
+    };
     let task = FollowerTask {
         config,
         known_replicas,
@@ -79,11 +106,13 @@
         verified_state: verified_state.clone(),
         changes,
         follower: StateFollower::default(),
-        zone_rechecks: 0,
-        left: None,
+        upstreams: Upstreams::new(timing, rand::random()),
+        links: BTreeMap::new(),
+        events,
+        last_proof_at: None,
         logger,
     };
-    tokio::spawn(task.run());
+    tokio::spawn(task.run(incoming));
     FollowerHandle {
         verified_state,
         changes: watched_changes,
@@ -92,7 +121,7 @@
 
 /// Replicas of the own zone first, and within and outside it in an order of the node's own, which
 /// spreads the nodes over the replicas.
-fn replicas_by_zone(config: &FollowerConfig, known_replicas: &KnownReplicas) -> Vec<KnownReplica> {
+fn candidates(config: &FollowerConfig, known_replicas: &KnownReplicas) -> Vec<Candidate> {
     let rank = |replica_id: ReplicaId| {
         let node_and_replica = format!("{}{replica_id}", config.node);
         model::leases::stable_hash(&node_and_replica)
@@ -103,189 +132,191 @@
         let latest_first = Reverse(replica.start_count);
         (is_elsewhere, rank(replica.replica_id), latest_first)
     });
-    replicas
-}
-
-/// What came of an attempt to follow a replica.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Attempt {
-    /// It could not be reached.
-    Unreachable,
-    /// It was reached, and in the end proved nothing.
-    Unproved,
-    /// It proved what it sent to the end.
-    Proved,
-}
-
-/// Why a replica was left.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum LeaveReason {
-    /// The connection ended.
-    Closed,
-    /// A request stayed without a proof for too long.
-    NoProof,
-    /// An update did not fit what was held.
-    Inconsistent,
-    /// A replica of the own zone may be back.
-    OwnZone,
-}
-
-/// Which replica is next, and how many attempts in a row reached none.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct ReplicaRotation {
-    turn: usize,
-    unreachable_in_a_row: usize,
+    let candidate = |replica: KnownReplica| Candidate {
+        key: ReplicaKey {
+            replica_id: replica.replica_id,
+            disk_id: replica.disk_id,
+        },
+        is_own_zone: replica.zone == config.zone,
+        address: replica.address,
+    };
+    replicas.into_iter().map(candidate).collect()
 }
 
-impl ReplicaRotation {
-    fn after_attempt(self, replica_count: usize, attempt: Attempt) -> ReplicaRotation {
-        match attempt {
-            // One that is gone may be back at once.
-            Attempt::Proved => ReplicaRotation::default(),
-            // None was reachable for a whole round, and now one is: the network is back, and the
-            // order begins anew.
-            Attempt::Unproved if self.unreachable_in_a_row >= replica_count => {
-                ReplicaRotation::default()
+impl<H: Fn() -> Handshake + Send + Sync + 'static> FollowerTask<H> {
+    async fn run(mut self, mut incoming: mpsc::Receiver<(UpstreamId, Event)>) {
+        let mut known_replicas = self.known_replicas.subscribe();
+        let mut candidates = candidates(&self.config, &self.known_replicas);
+        loop {
+            let now = model::now();
+            for action in self.upstreams.poll(now, &candidates) {
+                self.perform(action);
+            }
+            let next_poll_at = self.upstreams.next_poll_at(now);
+            tokio::select! {
+                event = incoming.recv() => if let Some((upstream, event)) = event {
+                    self.on_event(upstream, event);
+                },
+                changed = known_replicas.changed() => if changed.is_ok() {
+                    candidates = self::candidates(&self.config, &self.known_replicas);
+                },
+                () = sleep(upstreams::until(now, next_poll_at)) => {}
             }
-            Attempt::Unproved => ReplicaRotation {
-                turn: self.turn + 1,
-                unreachable_in_a_row: 0,
-            },
-            Attempt::Unreachable => ReplicaRotation {
-                turn: self.turn + 1,
-                unreachable_in_a_row: self.unreachable_in_a_row + 1,
-            },
         }
     }
 
-    /// Longer with every whole round: when no replica proves anything, asking them all faster does
-    /// not help.
-    fn pause(self, replica_count: usize) -> Duration {
-        let rounds = (self.turn / replica_count.max(1)).min(MAX_PAUSED_ROUNDS) as u64;
-        let pause = RECONNECT_PAUSE_MS + PAUSE_PER_ROUND_MS * rounds;
-        Duration::from_millis(pause + rand::random::<u64>() % (pause + 10))
-    }
-}
-
-impl<H: Fn() -> Handshake + Send + Sync + 'static> FollowerTask<H> {
-    async fn run(mut self) {
-        let mut rotation = ReplicaRotation::default();
-        loop {
-            let replicas = replicas_by_zone(&self.config, &self.known_replicas);
-            if let Some(replica) = replicas.get(rotation.turn % replicas.len().max(1)) {
-                let attempt = self.attempt(&replica.address).await;
-                rotation = rotation.after_attempt(replicas.len(), attempt);
-            }
-            sleep(rotation.pause(replicas.len())).await;
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Dial {
+                upstream,
+                candidate,
+            } => self.dial(upstream, candidate),
+            Action::RequestProof { upstream, frame } => self.send(upstream, frame),
+            Action::Close { upstream, reason } => self.close(upstream, reason),
         }
     }
 
-    async fn attempt(&mut self, address: &str) -> Attempt {
-        let connection = match transport::dial(address, (self.handshake)()).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                slog::debug!(self.logger, "cannot connect to a replica";
-                    "address" => address,
-                    "error" => %error);
-                return Attempt::Unreachable;
-            }
+    fn dial(&mut self, upstream: UpstreamId, candidate: Candidate) {
+        let handshake = (self.handshake)();
+        let reading = read_connection(
+            upstream,
+            candidate.address.clone(),
+            handshake,
+            self.events.clone(),
+            self.logger.clone(),
+        );
+        let link = Link {
+            name: candidate.address,
+            sender: None,
+            reader: tokio::spawn(reading).abort_handle(),
         };
-        let peer_handshake = &connection.peer_handshake;
-        let upstream = peer_handshake.node_name.clone();
-        discovery::merge(&self.known_replicas, peer_handshake.known_replicas.clone());
-        slog::info!(self.logger, "following a replica"; "upstream" => &upstream);
-        let (attempt, reason) = self.follow(connection).await;
-        slog::info!(self.logger, "replica left";
-            "upstream" => upstream,
-            "reason" => ?reason,
-            "proved" => attempt == Attempt::Proved);
-        self.left.get_or_insert((reason, model::now()));
-        attempt
+        self.links.insert(upstream, link);
     }
 
-    /// Follows until the connection is of no use any more.
-    async fn follow(&mut self, mut connection: Connection) -> (Attempt, LeaveReason) {
-        let is_elsewhere = connection.peer_handshake.zone != self.config.zone;
-        let held = self.follower.begin_connection();
-        let mut attempt = Attempt::Unproved;
-        let mut reason = LeaveReason::Closed;
-        let request = Frame::FollowClusterState {
-            held_position: held,
+    fn send(&mut self, upstream: UpstreamId, frame: Frame) {
+        let link = self.links.get(&upstream);
+        let sender = link.and_then(|link| link.sender.as_ref());
+        // The end of a connection that takes nothing more is an event of its own.
+        let _ = sender.map(|sender| sender.try_send(frame));
+    }
+
+    /// Forgets a connection, which ends it.
+    fn close(&mut self, upstream: UpstreamId, reason: LeaveReason) {
+        let Some(link) = self.links.remove(&upstream) else {
+            return;
         };
-        let mut usable = connection.sender.send(request).await.is_ok();
-        let began_at = model::now();
-        let mut proof_ticks = interval(Duration::from_micros(self.config.proof_interval));
-        proof_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while usable {
-            usable = tokio::select! {
-                frame = connection.receiver.recv() => match frame {
-                    Some(frame) => {
-                        let fits = self.handle_frame(frame, &mut attempt);
-                        if !fits {
-                            reason = LeaveReason::Inconsistent;
-                        }
-                        fits
-                    }
-                    None => false,
-                },
-                _ = proof_ticks.tick() => {
-                    let now = model::now();
-                    if is_elsewhere && self.own_zone_is_better(now, began_at) {
-                        self.zone_rechecks += 1;
-                        reason = LeaveReason::OwnZone;
-                        break;
-                    }
-                    let proves = self.proves_in_time(now);
-                    if !proves {
-                        attempt = Attempt::Unproved;
-                        reason = LeaveReason::NoProof;
-                    }
-                    proves && connection.sender.try_send(self.follower.request_proof(now)).is_ok()
-                }
-            };
+        if link.sender.is_some() {
+            slog::info!(self.logger, "replica left"; "upstream" => &link.name, "reason" => ?reason);
         }
-        (attempt, reason)
     }
 
-    /// A replica of the own zone became known, or may be back: updates that cross no zone are
-    /// followed there.
-    fn own_zone_is_better(&self, now: Microseconds, began_at: Microseconds) -> bool {
-        let doublings = self.zone_rechecks.min(MAX_RECHECK_DOUBLINGS);
-        if began_at + (OWN_ZONE_RECHECK_AFTER << doublings) >= now {
-            return false;
+    fn on_event(&mut self, upstream: UpstreamId, event: Event) {
+        // What a connection still had to say when it was left is of no use.
+        if !self.links.contains_key(&upstream) {
+            return;
         }
-        let replicas = replicas_by_zone(&self.config, &self.known_replicas);
-        let nearest = replicas.first();
-        nearest.is_some_and(|nearest| nearest.zone == self.config.zone)
+        match event {
+            Event::Connected { handshake, sender } => {
+                self.on_connected(upstream, *handshake, sender);
+            }
+            Event::Received(frame) => self.on_frame(upstream, frame),
+            Event::Ended(reason) => self.leave(upstream, reason),
+        }
+    }
+
+    fn leave(&mut self, upstream: UpstreamId, reason: LeaveReason) {
+        self.upstreams.on_ended(model::now(), upstream, reason);
+        self.close(upstream, reason);
     }
 
-    fn proves_in_time(&self, now: Microseconds) -> bool {
-        let oldest = self.follower.oldest_pending_request();
-        oldest.is_none_or(|requested_at| now < requested_at + self.config.proof_timeout)
+    fn on_connected(&mut self, upstream: UpstreamId, handshake: Handshake, sender: FrameSender) {
+        discovery::merge(&self.known_replicas, handshake.known_replicas);
+        slog::info!(self.logger, "connected to a replica"; "upstream" => &handshake.node_name);
+        let Some(link) = self.links.get_mut(&upstream) else {
+            return;
+        };
+        link.name = handshake.node_name;
+        link.sender = Some(sender);
+        let request = Frame::FollowClusterState {
+            held_position: self.follower.held_position(),
+        };
+        self.send(upstream, request);
+        let is_own_zone = handshake.zone == self.config.zone;
+        self.upstreams
+            .on_connected(model::now(), upstream, is_own_zone);
     }
 
-    /// Whether the frame fits what was received before.
-    fn handle_frame(&mut self, frame: Frame, attempt: &mut Attempt) -> bool {
-        let outcome = self.follower.handle_frame(frame);
-        if outcome == UpdateOutcome::Verified {
-            *attempt = Attempt::Proved;
-            self.log_gap();
+    fn on_frame(&mut self, upstream: UpstreamId, frame: Frame) {
+        let Some(requests) = self.upstreams.requests_of(upstream) else {
+            return;
+        };
+        let outcome = self.follower.handle_frame(frame, requests);
+        match outcome {
+            UpdateOutcome::Ignored => return,
+            UpdateOutcome::Inconsistent => {
+                return self.leave(upstream, LeaveReason::Inconsistent);
+            }
+            UpdateOutcome::Verified => self.on_verified(upstream),
+            UpdateOutcome::Updated => {}
         }
-        if outcome != UpdateOutcome::Ignored
-            && let Some(verified_state) = self.follower.verified()
-        {
+        if let Some(verified_state) = self.follower.verified() {
             self.verified_state.store(Arc::new(verified_state));
             self.changes.send_modify(|changes| *changes += 1);
         }
-        outcome != UpdateOutcome::Inconsistent
     }
 
-    /// Says how long no replica was followed that proves what it sends.
-    fn log_gap(&mut self) {
-        if let Some((reason, left_at)) = self.left.take() {
-            slog::info!(self.logger, "followed again";
-                "left_because" => ?reason,
-                "gap_us" => model::now() - left_at);
+    fn on_verified(&mut self, upstream: UpstreamId) {
+        let now = model::now();
+        let was_current = self.upstreams.is_current(upstream);
+        for action in self.upstreams.on_verified(now, upstream) {
+            self.perform(action);
+        }
+        if !was_current && self.upstreams.is_current(upstream) {
+            let link = self.links.get(&upstream);
+            let name = link.map(|link| link.name.as_str());
+            slog::info!(self.logger, "following a replica"; "upstream" => name);
+        }
+        let gap = self.last_proof_at.map_or(0, |last| now - last);
+        if gap > LONG_GAP {
+            slog::warn!(self.logger, "no replica proved anything for a while"; "gap_us" => gap);
+        }
+        self.last_proof_at = Some(now);
+    }
+}
+
+/// Opens a connection and passes on what comes on it until it ends.
+async fn read_connection(
+    upstream: UpstreamId,
+    address: String,
+    handshake: Handshake,
+    events: mpsc::Sender<(UpstreamId, Event)>,
+    logger: Logger,
+) {
+    let mut connection = match transport::dial(&address, handshake).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            slog::debug!(logger, "cannot connect to a replica";
+                "address" => address,
+                "error" => %error);
+            let ended = Event::Ended(LeaveReason::Unreachable);
+            // Nobody is left to tell once the process stops.
+            drop(events.send((upstream, ended)).await);
+            return;
+        }
+    };
+    let connected = Event::Connected {
+        handshake: Box::new(connection.peer_handshake),
+        sender: connection.sender,
+    };
+    let mut event = connected;
+    while events.send((upstream, event)).await.is_ok() {
+        event = match connection.receiver.recv().await {
+            Some(frame) => Event::Received(frame),
+            None => Event::Ended(LeaveReason::Closed),
+        };
+        if let Event::Ended(_) = event {
+            drop(events.send((upstream, event)).await);
+            return;
         }
     }
 }
--- a/crates/control/src/updates/mod.rs
+++ b/crates/control/src/updates/mod.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod stream;
 pub mod subscriber;
+pub mod upstreams;
 pub mod verification;
 pub mod view;
 pub mod zone_relay;
--- a/crates/control/src/updates/publisher.rs
+++ b/crates/control/src/updates/publisher.rs
@@ -261,10 +261,11 @@
     }
 
     /// Where in the history the updates after a position begin; `None` if it does not reach back
-    /// so far.
+    /// so far. A follower that comes from another replica may stand within an update, as that
+    /// replica grouped its entries differently: it is sent this one whole.
     fn history_index(&self, position: Position) -> Option<usize> {
         let mut history = self.history.iter();
-        let begins = history.position(|update| update.from == position);
+        let begins = history.position(|update| update.from <= position && position < update.to);
         let is_present = position == self.cluster_state.position;
         begins.or(is_present.then_some(self.history.len()))
     }
--- a/crates/control/src/updates/verification.rs
+++ b/crates/control/src/updates/verification.rs
@@ -28,19 +28,57 @@
 /// The present verified state, for readers in other tasks.
 pub type SharedVerifiedState = Arc<ArcSwap<VerifiedState>>;
 
-/// A proof that was requested on the present connection.
+/// A proof that was requested and has not come.
 struct PendingProof {
     request_id: u64,
     requested_at: Microseconds,
 }
 
-/// Follows the cluster state over one connection after the other.
+/// The proofs that were requested on one connection. They end with it: a proof speaks for the
+/// updates before it on its own connection only.
+#[derive(Default)]
+pub struct ProofRequests {
+    pending: VecDeque<PendingProof>,
+    last_request: u64,
+}
+
+impl ProofRequests {
+    /// The frame that requests a proof.
+    pub fn request(&mut self, now: Microseconds) -> Frame {
+        self.last_request += 1;
+        self.pending.push_back(PendingProof {
+            request_id: self.last_request,
+            requested_at: now,
+        });
+        Frame::RequestProof {
+            request_id: self.last_request,
+        }
+    }
+
+    /// When the oldest proof that is still awaited was requested.
+    pub fn oldest_pending(&self) -> Option<Microseconds> {
+        let oldest = self.pending.front();
+        oldest.map(|request| request.requested_at)
+    }
+
+    /// When the proof that came was requested, unless nobody waits for it. Earlier requests are
+    /// answered by it, too.
+    fn answered(&mut self, request_id: u64) -> Option<Microseconds> {
+        let mut pending = self.pending.iter();
+        let request = pending.find(|request| request.request_id == request_id);
+        let requested_at = request.map(|request| request.requested_at);
+        self.pending
+            .retain(|request| request.request_id > request_id);
+        requested_at
+    }
+}
+
+/// Follows the cluster state over one connection after the other, or over several at once: a
+/// position is the same state, whichever replica sends it.
 #[derive(Default)]
 pub struct StateFollower {
     received: Arc<StateSnapshot>,
     verified_at: Microseconds,
-    pending_requests: VecDeque<PendingProof>,
-    last_request: u64,
 }
 
 /// What came of a frame.
@@ -57,33 +95,13 @@
 }
 
 impl StateFollower {
-    /// Begins a connection: proofs requested on an earlier one do not count any more. Returns the
-    /// position up to which the cluster state was received.
-    pub fn begin_connection(&mut self) -> Position {
-        self.pending_requests.clear();
+    /// The position up to which the cluster state was received, for the first frame on a connection.
+    pub fn held_position(&self) -> Position {
         self.received.position
     }
 
-    /// The frame that requests a proof on the present connection.
-    pub fn request_proof(&mut self, now: Microseconds) -> Frame {
-        self.last_request += 1;
-        self.pending_requests.push_back(PendingProof {
-            request_id: self.last_request,
-            requested_at: now,
-        });
-        Frame::RequestProof {
-            request_id: self.last_request,
-        }
-    }
-
-    /// When the oldest proof that is still awaited was requested.
-    pub fn oldest_pending_request(&self) -> Option<Microseconds> {
-        let oldest = self.pending_requests.front();
-        oldest.map(|request| request.requested_at)
-    }
-
-    /// Takes in a frame from the present connection.
-    pub fn handle_frame(&mut self, frame: Frame) -> UpdateOutcome {
+    /// Takes in a frame from a connection with the proofs that were requested on it.
+    pub fn handle_frame(&mut self, frame: Frame, requests: &mut ProofRequests) -> UpdateOutcome {
         match frame {
             Frame::ClusterStateUpdate {
                 is_snapshot,
@@ -94,13 +112,15 @@
             Frame::Proof {
                 request_id,
                 position,
-            } => self.on_proof(request_id, position),
+            } => self.on_proof(requests.answered(request_id), position),
             _ => UpdateOutcome::Ignored,
         }
     }
 
     /// The state only moves forward: what is older than what was received is dropped, whoever
-    /// sends it, however late.
+    /// sends it, however late. An update that begins below what was received and ends above it
+    /// fits: replicas group their entries differently, and a delta says what holds after it, so
+    /// applying some of them again changes nothing.
     fn on_update(
         &mut self,
         is_snapshot: bool,
@@ -111,7 +131,7 @@
         if to <= self.received.position {
             return UpdateOutcome::Ignored;
         }
-        let fits = is_snapshot || from == self.received.position;
+        let fits = is_snapshot || from <= self.received.position;
         let Some(deltas) = publisher::decode_deltas(deltas).filter(|_| fits) else {
             return UpdateOutcome::Inconsistent;
         };
@@ -120,20 +140,21 @@
     }
 
     /// Updates are sent before the proof that rests on them: if the proof's position was received,
-    /// what is held here held at a majority.
-    fn on_proof(&mut self, request_id: u64, position: Position) -> UpdateOutcome {
-        let mut pending = self.pending_requests.iter();
-        let request = pending.find(|request| request.request_id == request_id);
-        let requested_at = request.map(|request| request.requested_at);
-        self.pending_requests
-            .retain(|request| request.request_id > request_id);
-        match requested_at {
-            Some(requested_at) if position <= self.received.position => {
-                self.verified_at = self.verified_at.max(requested_at);
-                UpdateOutcome::Verified
-            }
-            _ => UpdateOutcome::Ignored,
+    /// what is held here held at a majority. If it was not, the replica no longer sends updates on
+    /// this connection, and waiting would not bring them.
+    fn on_proof(
+        &mut self,
+        requested_at: Option<Microseconds>,
+        position: Position,
+    ) -> UpdateOutcome {
+        let Some(requested_at) = requested_at else {
+            return UpdateOutcome::Ignored;
+        };
+        if position > self.received.position {
+            return UpdateOutcome::Inconsistent;
         }
+        self.verified_at = self.verified_at.max(requested_at);
+        UpdateOutcome::Verified
     }
 
     /// What was received, verified or not.
--- a/crates/control/src/updates/verification/tests.rs
+++ b/crates/control/src/updates/verification/tests.rs
@@ -38,34 +38,34 @@
 #[test]
 fn nothing_is_verified_before_a_proof_requested_on_this_connection_for_what_was_received() {
     let mut follower = StateFollower::default();
-    follower.begin_connection();
-    assert_eq!(follower.handle_frame(update(5)), UpdateOutcome::Updated);
+    let mut requests = ProofRequests::default();
+    assert_eq!(
+        follower.handle_frame(update(5), &mut requests),
+        UpdateOutcome::Updated
+    );
     assert!(follower.verified().is_none());
-    follower.request_proof(100);
+    requests.request(100);
+    let proof = |request_id, position| Frame::Proof {
+        request_id,
+        position,
+    };
     assert_eq!(
-        follower.handle_frame(Frame::Proof {
-            request_id: 1,
-            position: 6
-        }),
-        UpdateOutcome::Ignored,
+        follower.handle_frame(proof(1, 6), &mut requests),
+        UpdateOutcome::Inconsistent,
         "it speaks of what was never received"
     );
-    follower.request_proof(200);
-    assert_eq!(follower.begin_connection(), 5);
+    assert!(follower.verified().is_none());
+    requests.request(200);
+    requests = ProofRequests::default();
+    assert_eq!(follower.held_position(), 5);
     assert_eq!(
-        follower.handle_frame(Frame::Proof {
-            request_id: 2,
-            position: 5
-        }),
+        follower.handle_frame(proof(2, 5), &mut requests),
         UpdateOutcome::Ignored,
         "it was requested on an earlier connection"
     );
-    follower.request_proof(300);
+    requests.request(300);
     assert_eq!(
-        follower.handle_frame(Frame::Proof {
-            request_id: 3,
-            position: 5
-        }),
+        follower.handle_frame(proof(1, 5), &mut requests),
         UpdateOutcome::Verified
     );
     let verified = follower.verified().expect("a proof");
@@ -75,12 +75,12 @@
 #[test]
 fn an_older_update_that_arrives_late_is_dropped() {
     let mut follower = StateFollower::default();
-    follower.begin_connection();
+    let mut requests = ProofRequests::default();
     assert_eq!(
         (
-            follower.handle_frame(update(5)),
-            follower.handle_frame(update(4)),
-            follower.handle_frame(update(5))
+            follower.handle_frame(update(5), &mut requests),
+            follower.handle_frame(update(4), &mut requests),
+            follower.handle_frame(update(5), &mut requests)
         ),
         (
             UpdateOutcome::Updated,
--- a/crates/control/tests/following/main.rs
+++ b/crates/control/tests/following/main.rs
@@ -4,3 +4,4 @@
 mod replicas;
 mod silent_zone;
 mod unsent_update;
+mod upstreams;
--- a/crates/control/tests/following/regrouped_updates.rs
+++ b/crates/control/tests/following/regrouped_updates.rs
@@ -8,7 +8,7 @@
 //! millisecond of `following a replica`, seven times in two runs.
 
 use control::updates::publisher::UpdatePublisher;
-use control::updates::verification::{StateFollower, UpdateOutcome};
+use control::updates::verification::{ProofRequests, StateFollower, UpdateOutcome};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
@@ -33,9 +33,10 @@
 /// Follows a replica from the position that is held; whether every update could be used.
 fn follow(publisher: &mut UpdatePublisher, follower: &mut StateFollower) -> bool {
     let (sender, mut frames) = mpsc::channel::<Frame>(1_024);
-    publisher.add_follower(follower.begin_connection(), sender);
+    publisher.add_follower(follower.held_position(), sender);
+    let mut requests = ProofRequests::default();
     std::iter::from_fn(|| frames.try_recv().ok())
-        .all(|frame| follower.handle_frame(frame) != UpdateOutcome::Inconsistent)
+        .all(|frame| follower.handle_frame(frame, &mut requests) != UpdateOutcome::Inconsistent)
 }
 
 #[test]
--- a/crates/control/tests/recorded_bulletins.rs
+++ b/crates/control/tests/recorded_bulletins.rs
@@ -2,7 +2,7 @@
 //! as an earlier build wrote them.
 
 use control::updates::publisher::{EntryId, UpdatePublisher};
-use control::updates::verification::StateFollower;
+use control::updates::verification::{ProofRequests, StateFollower};
 use model::cluster_state::items::ItemPut;
 use model::cluster_state::{ClusterOperation, ItemBody, ItemCall, Limits, Service, StateSnapshot};
 use recorded::RecordedBytes;
@@ -66,12 +66,13 @@
             panic!("a follower is told changes, not {frame:?}")
         };
         let deltas = recorded.check(&format!("{name}-{number}"), &deltas);
-        follower.handle_frame(Frame::ClusterStateUpdate {
+        let update = Frame::ClusterStateUpdate {
             is_snapshot: afresh,
             from,
             to,
             deltas,
-        });
+        };
+        follower.handle_frame(update, &mut ProofRequests::default());
     }
 }
 
@@ -80,7 +81,7 @@
     let mut recorded = RecordedBytes::of("bulletins");
     let mut desk = UpdatePublisher::default();
     let mut follower = StateFollower::default();
-    let held = follower.begin_connection();
+    let held = follower.held_position();
     for version in 1..=3 {
         put(
             &mut desk,
@@ -107,7 +108,7 @@
     let bill = desk.cluster_state.clone();
     desk.install(bill);
     let mut follower = StateFollower::default();
-    let held = follower.begin_connection();
+    let held = follower.held_position();
     tell(
         &mut recorded,
         "afresh",
--- a/crates/simulator/src/state_sim/harness.rs
+++ b/crates/simulator/src/state_sim/harness.rs
@@ -261,8 +261,8 @@
         if now >= node.asks_at {
             node.asks_at = now + plan.proof_interval;
             if node
-                .follower
-                .oldest_pending_request()
+                .requests
+                .oldest_pending()
                 .is_some_and(|asked| now >= asked + plan.proof_interval)
             {
                 node.connection = None;
@@ -270,7 +270,7 @@
             }
             line.to_replica.push_back((
                 now + world.draw(plan.network_delay),
-                node.follower.request_proof(now),
+                node.requests.request(now),
             ));
         }
         while world.is_running(line.replica)
--- a/crates/simulator/src/state_sim/node.rs
+++ b/crates/simulator/src/state_sim/node.rs
@@ -1,6 +1,6 @@
 //! A follower: a node's promptbook, and the conn it is told on (design 11.3).
 
-use control::updates::verification::{StateFollower, UpdateOutcome};
+use control::updates::verification::{ProofRequests, StateFollower, UpdateOutcome};
 use model::cluster_state::StateSnapshot;
 use model::{Microseconds, Position};
 use std::collections::VecDeque;
@@ -22,6 +22,8 @@
 #[derive(Default)]
 pub(super) struct FollowerNode {
     pub follower: StateFollower,
+    /// The proofs requested on the present connection.
+    pub requests: ProofRequests,
     pub connection: Option<UpdateConnection>,
     /// The process does not run until then; the path to the core is cut, what comes is late until then.
     pub down_until: Microseconds,
@@ -60,8 +62,9 @@
         if without.forward {
             self.follower = StateFollower::default();
         }
+        self.requests = ProofRequests::default();
         transport::Frame::FollowClusterState {
-            held_position: self.follower.begin_connection(),
+            held_position: self.follower.held_position(),
         }
     }
 
@@ -73,7 +76,7 @@
         {
             self.older_received += 1;
         }
-        let heard = self.follower.handle_frame(frame);
+        let heard = self.follower.handle_frame(frame, &mut self.requests);
         if heard == UpdateOutcome::Verified {
             self.has_verified = true;
             self.connection
