--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -243,10 +243,17 @@
     }
 }
 
+/// Something that takes a node out of touch.
+struct NodeEvent {
+    at: Micros,
+    /// Whether the process runs from then on.
+    runs: bool,
+}
+
 /// When machines were left alone for long enough.
 struct CalmTimes {
     quiet: Micros,
-    node_events: BTreeMap<usize, Vec<Micros>>,
+    node_events: BTreeMap<usize, Vec<NodeEvent>>,
     core_events: Vec<Micros>,
     /// From when on how many core machines ran.
     running_cores: Vec<(Micros, usize)>,
@@ -271,7 +278,13 @@
             match event.machine {
                 // SIGHUP does not take a machine out of touch.
                 Machine::Node(_) if event.kind == EventKind::Reloaded => {}
-                Machine::Node(node) => calm.node_events.entry(node).or_default().push(event.at),
+                Machine::Node(node) => {
+                    let stands_still = matches!(event.kind, EventKind::Frozen | EventKind::Killed);
+                    calm.node_events.entry(node).or_default().push(NodeEvent {
+                        at: event.at,
+                        runs: !stands_still,
+                    });
+                }
                 Machine::Core(core) => {
                     if event.kind != EventKind::Reloaded {
                         calm.core_events.push(event.at);
@@ -297,15 +310,14 @@
     /// How late a request may be answered by an overtaken version; `None` for machines that are not
     /// in touch.
     fn allowed_lateness(&self, probe: &Probe, bounds: &Bounds) -> Option<Micros> {
-        let node_events = self.node_events.get(&probe.node);
-        if !self.is_calm(node_events.map_or(&[], Vec::as_slice), probe.sent_at) {
+        if !self.node_is_calm(probe.node, probe.sent_at) {
             return None;
         }
         let since = probe
             .sent_at
             .saturating_sub(bounds.apply + bounds.stretch_max);
         let majority_ran = self.most_cores_ran(since, probe.sent_at);
-        let settled = self.is_calm(&self.core_events, probe.sent_at);
+        let settled = self.core_is_calm(probe.sent_at);
         match (settled, majority_ran) {
             (true, true) => Some(bounds.apply),
             (false, true) => Some(bounds.apply + bounds.stretch_max),
@@ -313,8 +325,15 @@
         }
     }
 
-    fn is_calm(&self, events: &[Micros], at: Micros) -> bool {
-        let last = events.iter().rfind(|event| **event <= at);
+    /// A node that stands still is not in touch, however long ago it was stopped.
+    fn node_is_calm(&self, node: usize, at: Micros) -> bool {
+        let events = self.node_events.get(&node);
+        let last = events.and_then(|events| events.iter().rfind(|event| event.at <= at));
+        last.is_none_or(|event| event.runs && event.at + self.quiet <= at)
+    }
+
+    fn core_is_calm(&self, at: Micros) -> bool {
+        let last = self.core_events.iter().rfind(|event| **event <= at);
         last.is_none_or(|event| event + self.quiet <= at)
     }
 
