Same cause elsewhere: reports and the search for replicas no longer wait for silent ones

Cause, as of the incident: a node asks one process after the other and waits up to a second for each that says nothing. Reports go first to the replica that the node relies on for updates, which has just shown that it works; then in turn, as before. The search for replicas asks all of a round at once: with two of three seeds silent a node that starts learned of the core two seconds later. Looked at and left: peer links (a task for each), operators' calls (they choose), gradeford-node's subscriber (serial too; it stops serving on an old proof, so it refuses, and is not late).

--- a/crates/control/src/membership/discovery.rs
+++ b/crates/control/src/membership/discovery.rs
@@ -8,6 +8,7 @@
 use mencius::ReplicaId;
 use storage::DiskId;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use transport::{Handshake, KnownReplica, Purpose};
 
@@ -76,9 +77,13 @@
             addresses
         };
         turn += 1;
-        for address in &asked {
-            ask(&known_replicas, address, handshake()).await;
-        }
+        // All at once: one that is silent would keep the others waiting.
+        let asked = asked.into_iter().map(|address| {
+            let known_replicas = known_replicas.clone();
+            let handshake = handshake();
+            async move { ask(&known_replicas, &address, handshake).await }
+        });
+        asked.collect::<JoinSet<()>>().join_all().await;
         sleep(if complete {
             REFRESH_INTERVAL
         } else {
--- a/crates/control/src/status_reports.rs
+++ b/crates/control/src/status_reports.rs
@@ -7,7 +7,7 @@
 use model::endpoint_status::EndpointReport;
 use model::{Entry, Incarnation, Operation, Outcome};
 use slog::Logger;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use transport::{Connection, Frame, Handshake};
 
@@ -47,10 +47,13 @@
 pub struct StatusReporter(mpsc::Sender<PendingReport>);
 
 impl StatusReporter {
-    /// Starts the task that sends the reports.
+    /// Starts the task that sends the reports. `followed` is the address of the replica that the
+    /// node relies on for updates, if there is one: it is asked first, as it has just shown that it
+    /// works, while others may be silent.
     pub fn start(
         config: StatusReporterConfig,
         known_replicas: KnownReplicas,
+        followed: watch::Receiver<Option<String>>,
         handshake: impl Fn() -> Handshake + Send + 'static,
     ) -> StatusReporter {
         let (queue, reports) = mpsc::channel(REPORT_QUEUE_CAPACITY);
@@ -58,8 +61,10 @@
         let task = ReporterTask {
             config,
             known_replicas,
+            followed,
             handshake,
             connection: None,
+            failed_address: None,
             turn: node_slot,
         };
         tokio::spawn(task.run(reports));
@@ -90,8 +95,11 @@
 struct ReporterTask<H> {
     config: StatusReporterConfig,
     known_replicas: KnownReplicas,
+    followed: watch::Receiver<Option<String>>,
     handshake: H,
     connection: Option<Connection>,
+    /// The replica that was asked last, unless it answered.
+    failed_address: Option<String>,
     /// Which replica is next; nodes spread over the replicas by name.
     turn: usize,
 }
@@ -129,6 +137,7 @@
             if let Some(connection) = self.connection.as_mut() {
                 let answered = timeout(ANSWER_TIMEOUT, forward(connection, entry)).await;
                 if let Some(outcome) = answered.ok().flatten() {
+                    self.failed_address = None;
                     return outcome;
                 }
             }
@@ -140,11 +149,21 @@
     }
 
     async fn connect_next(&mut self) -> Option<Connection> {
-        let own_handshake = (self.handshake)();
+        let address = self.next_address()?;
+        self.failed_address = Some(address.clone());
+        transport::dial(&address, (self.handshake)()).await.ok()
+    }
+
+    /// The replica that the node relies on, unless that one has just failed; else the next in turn.
+    fn next_address(&mut self) -> Option<String> {
+        let followed = self.followed.borrow().clone();
+        if followed.is_some() && followed != self.failed_address {
+            return followed;
+        }
         let replicas = discovery::list(&self.known_replicas);
         let replica = replicas.get(self.turn % replicas.len().max(1))?;
         self.turn += 1;
-        transport::dial(&replica.address, own_handshake).await.ok()
+        Some(replica.address.clone())
     }
 }
 
--- a/crates/control/src/updates/follower.rs
+++ b/crates/control/src/updates/follower.rs
@@ -44,6 +44,8 @@
     pub verified_state: SharedVerifiedState,
     /// Counts the changes of `verified_state`.
     pub changes: watch::Receiver<u64>,
+    /// The address of the replica that is relied on, if there is one.
+    pub followed: watch::Receiver<Option<String>>,
 }
 
 /// What happens on a connection.
@@ -58,8 +60,9 @@
 
 /// A connection, or an attempt to open one, as the task holds it.
 struct Link {
+    address: String,
     /// The name of the replica, once it is known.
-    name: String,
+    name: Option<String>,
     sender: Option<FrameSender>,
     /// Ends the task that reads from the connection, and with it the connection.
     reader: AbortHandle,
@@ -77,6 +80,7 @@
     handshake: H,
     verified_state: SharedVerifiedState,
     changes: watch::Sender<u64>,
+    followed: watch::Sender<Option<String>>,
     follower: StateFollower,
     upstreams: Upstreams,
     links: BTreeMap<UpstreamId, Link>,
@@ -93,6 +97,7 @@
     logger: Logger,
 ) -> FollowerHandle {
     let (changes, watched_changes) = watch::channel(0);
+    let (followed, watched_followed) = watch::channel(None);
     let verified_state = SharedVerifiedState::default();
     let (events, incoming) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let timing = UpstreamTiming {
@@ -105,6 +110,7 @@
         handshake,
         verified_state: verified_state.clone(),
         changes,
+        followed,
         follower: StateFollower::default(),
         upstreams: Upstreams::new(timing, rand::random()),
         links: BTreeMap::new(),
@@ -116,6 +122,7 @@
     FollowerHandle {
         verified_state,
         changes: watched_changes,
+        followed: watched_followed,
     }
 }
 
@@ -186,7 +193,8 @@
             self.logger.clone(),
         );
         let link = Link {
-            name: candidate.address,
+            address: candidate.address,
+            name: None,
             sender: None,
             reader: tokio::spawn(reading).abort_handle(),
         };
@@ -205,9 +213,11 @@
         let Some(link) = self.links.remove(&upstream) else {
             return;
         };
-        if link.sender.is_some() {
-            slog::info!(self.logger, "replica left"; "upstream" => &link.name, "reason" => ?reason);
+        if let Some(name) = &link.name {
+            slog::info!(self.logger, "replica left"; "upstream" => name, "reason" => ?reason);
         }
+        self.followed
+            .send_if_modified(|followed| followed.take_if(|held| *held == link.address).is_some());
     }
 
     fn on_event(&mut self, upstream: UpstreamId, event: Event) {
@@ -235,7 +245,7 @@
         let Some(link) = self.links.get_mut(&upstream) else {
             return;
         };
-        link.name = handshake.node_name;
+        link.name = Some(handshake.node_name);
         link.sender = Some(sender);
         let request = Frame::FollowClusterState {
             held_position: self.follower.held_position(),
@@ -271,10 +281,12 @@
         for action in self.upstreams.on_verified(now, upstream) {
             self.perform(action);
         }
-        if !was_current && self.upstreams.is_current(upstream) {
-            let link = self.links.get(&upstream);
-            let name = link.map(|link| link.name.as_str());
-            slog::info!(self.logger, "following a replica"; "upstream" => name);
+        if !was_current
+            && self.upstreams.is_current(upstream)
+            && let Some(link) = self.links.get(&upstream)
+        {
+            slog::info!(self.logger, "following a replica"; "upstream" => link.name.as_ref());
+            self.followed.send_replace(Some(link.address.clone()));
         }
         let gap = self.last_proof_at.map_or(0, |last| now - last);
         if gap > LONG_GAP {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -36,15 +36,22 @@
 /// Reads flags and settings, runs the program and returns once it has stopped. Ends the process
 /// with the exit codes of the help page if it fails.
 pub fn run<D: Daemon>() {
+    run_to_end(D::PROGRAM, start_and_serve::<D>());
+}
+
+/// Catches signals before it reads flags and settings: until then one would end the process at once.
+fn start_and_serve<D: Daemon>() -> Result<(), Error> {
+    let runtime = Runtime::new()?;
+    let signals = {
+        let _entered = runtime.enter();
+        Signals::install()?
+    };
     let names = D::Settings::SETTING_NAMES;
     let start_up = settings::start_up::<D::Settings>(D::PROGRAM, D::HELP, names);
     let Some((command_line, settings)) = start_up else {
-        return;
+        return Ok(());
     };
-    let served = Runtime::new().map_err(Error::from);
-    let served = served
-        .and_then(|runtime| runtime.block_on(serve_until_stopped::<D>(command_line, settings)));
-    run_to_end(D::PROGRAM, served);
+    runtime.block_on(serve_until_stopped::<D>(command_line, settings, signals))
 }
 
 /// Ends the process with the exit code for failure, and the error on standard error, if there is one.
@@ -58,12 +65,11 @@
 async fn serve_until_stopped<D: Daemon>(
     command_line: CommandLine,
     settings: D::Settings,
+    mut signals: Signals,
 ) -> Result<(), Error> {
     let level_switch = LogLevelSwitch::new(parsed_log_level(settings.log_level()));
     let (logger, _flush_at_end) =
         logging::start_logger(D::PROGRAM, settings.name(), level_switch.clone());
-    // Before anything else: a signal that comes early must not end the process.
-    let mut signals = Signals::install()?;
     let daemon = D::start(&settings, &logger).await?;
     while signals.next().await == Signal::Reload {
         reload(&command_line, &settings, &level_switch, &logger);
--- a/crates/endpoints/src/node.rs
+++ b/crates/endpoints/src/node.rs
@@ -176,6 +176,7 @@
                 logger: logger.clone(),
             },
             known_replicas.clone(),
+            follower.followed.clone(),
             handshake_for(&handshake, Purpose::Subscribe),
         );
         let limiter = ConcurrencyLimiter::start(ConcurrencyLimiterConfig {
--- a/crates/endpoints/tests/harness/mod.rs
+++ b/crates/endpoints/tests/harness/mod.rs
@@ -119,6 +119,7 @@
     let follower = FollowerHandle {
         verified_state: Default::default(),
         changes: watch,
+        followed: watch::channel(None).1,
     };
     // There was a proof, so reports are sent, and it was long ago, so nothing is granted.
     let show = |state: &ClusterState, verified_state: &SharedVerifiedState| {
@@ -211,7 +212,9 @@
         incarnation: 1,
         logger: discard_logger(),
     };
-    let reports = StatusReporter::start(reporting, known, || handshake("127.0.0.1:0"));
+    let reports = StatusReporter::start(reporting, known, watch::channel(None).1, || {
+        handshake("127.0.0.1:0")
+    });
     let limiter = ConcurrencyLimiter::start(ConcurrencyLimiterConfig {
         header_names: DEFAULT_HEADER_NAMES,
         extra_runs: 0,
--- a/crates/gradeford-node/src/start.rs
+++ b/crates/gradeford-node/src/start.rs
@@ -102,6 +102,8 @@
         let status_reports = StatusReporter::start(
             config,
             known_replicas.clone(),
+            // It may be subscribed through a relay: no replica is known to work.
+            watch::channel(None).1,
             handshakes(Purpose::Subscribe),
         );
         let config = MonitorConfig {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -137,7 +137,8 @@
                 70..78 => self.draw_third_of_nodes(at),
                 78..84 => self.draw_zone_freeze(at),
                 84..94 => self.draw_backend_fault(at),
-                _ => self.draw_all_cores_killed(at),
+                94..98 => self.draw_all_cores_killed(at),
+                _ => self.draw_everything_killed(at),
             }
             at += self.between(FAULT_PAUSE);
         }
@@ -254,6 +255,15 @@
         self.push(at, Machine::Node(node), fault);
     }
 
+    /// Every process is killed at one moment; the disks remain.
+    fn draw_everything_killed(&mut self, at: Micros) {
+        self.draw_all_cores_killed(at);
+        for node in 0..self.site.nodes {
+            let away = self.between((50 * MILLISECOND, SECOND));
+            self.push(at, Machine::Node(node), Fault::Kill(away));
+        }
+    }
+
     /// All core machines are killed at one moment and come back with their disks.
     fn draw_all_cores_killed(&mut self, at: Micros) {
         let away = self.between((50 * MILLISECOND, SECOND));
