--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -123,6 +123,11 @@
         /// How, in the system's words.
         status: String,
     },
+    /// A process still ran when its time for a graceful shutdown was over.
+    StopTookTooLong {
+        /// Which one.
+        machine: Machine,
+    },
 }
 
 /// Everything recorded in a run.
@@ -140,6 +145,8 @@
     pub findings: Vec<Finding>,
     /// Answers by status; 0 for none.
     pub statuses: BTreeMap<u16, u64>,
+    /// Processes that ended by a signal while the system was still loading them.
+    pub ended_while_loading: usize,
     /// How long acknowledged calls took.
     pub acknowledgement_times: Vec<Micros>,
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -140,7 +140,8 @@
     let slowest = records.acknowledgement_times.iter().max();
     println!(
         "seed {seed}: {} violations, longest lateness in touch {} ms, {} late out of touch, {} probes, {} reads, \
-         {} routes, {} calls acknowledged, the slowest after {} ms, {} machine events, answers {:?}",
+         {} routes, {} calls acknowledged, the slowest after {} ms, {} machine events, {} ended while loading, \
+         answers {:?}",
         verdict.violations.len(),
         verdict.longest_lateness / 1_000,
         verdict.late_out_of_touch,
@@ -150,6 +151,7 @@
         records.acknowledgement_times.len(),
         slowest.copied().unwrap_or_default() / 1_000,
         records.events.len(),
+        records.ended_while_loading,
         records.statuses,
     );
 }
--- a/crates/soak/src/supervisor.rs
+++ b/crates/soak/src/supervisor.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::os::unix::process::ExitStatusExt as _;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +16,7 @@
 
 use crate::Error;
 use crate::backend::BackendOrder;
-use crate::clock::{Clock, Micros};
+use crate::clock::{Clock, MILLISECOND, Micros};
 use crate::history::{EventKind, Finding, History};
 use crate::plan::{Fault, PlannedFault};
 use crate::process::Process;
@@ -28,16 +30,33 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Signals of a series come so far apart.
 const SERIES_PAUSE: Duration = Duration::from_millis(120);
+/// A process that was started so lately may end by the signal itself: it has no handler before the
+/// system has loaded it, which takes longer while many start at once.
+const LOADING_TIME: Micros = 100 * MILLISECOND;
 /// How many core machines a settings file names.
 const SEED_COUNT: usize = 3;
 
 /// A machine and the process on it, if one runs.
 struct MachineSlot {
     process: Option<Process>,
+    started_at: Micros,
+    /// When the process was sent its latest SIGTERM or SIGHUP.
+    signalled_at: Micros,
     /// Nothing runs here any more, or not yet.
     is_vacant: bool,
 }
 
+impl MachineSlot {
+    /// Whether the process ended by a signal that came while the system was loading it.
+    fn ended_while_loading(&self, status: ExitStatus) -> bool {
+        let by_default_action = [Signal::HUP.as_raw(), Signal::TERM.as_raw()];
+        status
+            .signal()
+            .is_some_and(|signal| by_default_action.contains(&signal))
+            && self.signalled_at < self.started_at + LOADING_TIME
+    }
+}
+
 /// Starts, signals and ends the processes of a run.
 pub struct Supervisor {
     site: Arc<Site>,
@@ -64,6 +83,8 @@
         let slots = machines.map(|machine| {
             let slot = MachineSlot {
                 process: None,
+                started_at: 0,
+                signalled_at: 0,
                 is_vacant: true,
             };
             (machine, Mutex::new(slot))
@@ -122,6 +143,7 @@
         };
         let log = self.site.log_path(machine);
         slot.process = Some(Process::start(&self.program, role, &path, &log)?);
+        slot.started_at = self.clock.now();
         self.record(machine, EventKind::Started);
         Ok(())
     }
@@ -142,14 +164,7 @@
                 let ended = slot.process.as_mut().and_then(Process::ended);
                 let Some(status) = ended else { continue };
                 self.record(*machine, EventKind::EndedByItself);
-                // One that finds its place taken empties its disk and ends with success.
-                if !status.success() {
-                    let finding = Finding::ProcessEnded {
-                        machine: *machine,
-                        status: status.to_string(),
-                    };
-                    self.history.lock().findings.push(finding);
-                }
+                self.judge_end(*machine, &slot, status);
                 sleep(RESTART_DELAY).await;
                 // A failure shows as a machine that stays away.
                 drop(self.start(*machine, &mut slot, false));
@@ -157,6 +172,22 @@
         }
     }
 
+    /// One that finds its place taken empties its disk and ends with success, as one does that was
+    /// told to stop.
+    fn judge_end(&self, machine: Machine, slot: &MachineSlot, status: ExitStatus) {
+        if status.success() {
+            return;
+        }
+        let mut records = self.history.lock();
+        if slot.ended_while_loading(status) {
+            records.ended_while_loading += 1;
+            return;
+        }
+        let status = status.to_string();
+        let finding = Finding::ProcessEnded { machine, status };
+        records.findings.push(finding);
+    }
+
     /// Carries out all faults at their times, and returns once the last one is over.
     pub async fn perform(self: Arc<Self>, faults: Vec<PlannedFault>) {
         let mut under_way = JoinSet::new();
@@ -182,7 +213,7 @@
             return;
         }
         match planned.fault {
-            Fault::Freeze(length) => self.freeze(machine, &slot, length).await,
+            Fault::Freeze(length) => self.freeze(machine, &mut slot, length).await,
             Fault::Kill(away) => {
                 self.kill(machine, &mut slot);
                 self.restart_after(machine, &mut slot, away).await;
@@ -198,7 +229,7 @@
             }
             Fault::Reload(times) => {
                 for _ in 0..times {
-                    self.signal(machine, &slot, Signal::HUP, EventKind::Reloaded);
+                    self.signal(machine, &mut slot, Signal::HUP, EventKind::Reloaded);
                     sleep(SERIES_PAUSE).await;
                 }
             }
@@ -233,14 +264,15 @@
         }
     }
 
-    fn signal(&self, machine: Machine, slot: &MachineSlot, signal: Signal, kind: EventKind) {
+    fn signal(&self, machine: Machine, slot: &mut MachineSlot, signal: Signal, kind: EventKind) {
         if let Some(process) = &slot.process {
             self.record(machine, kind);
             process.signal(signal);
+            slot.signalled_at = self.clock.now();
         }
     }
 
-    async fn freeze(&self, machine: Machine, slot: &MachineSlot, length: Micros) {
+    async fn freeze(&self, machine: Machine, slot: &mut MachineSlot, length: Micros) {
         self.signal(machine, slot, Signal::STOP, EventKind::Frozen);
         sleep(Duration::from_micros(length)).await;
         self.signal(machine, slot, Signal::CONT, EventKind::Thawed);
@@ -258,11 +290,23 @@
             return;
         };
         let ended = async {
-            while process.ended().is_none() {
+            loop {
+                if let Some(status) = process.ended() {
+                    return status;
+                }
                 sleep(WATCH_INTERVAL / 5).await;
             }
         };
-        drop(tokio::time::timeout(grace, ended).await);
+        let ended = tokio::time::timeout(grace, ended).await;
+        match ended {
+            Ok(status) => self.judge_end(machine, slot, status),
+            Err(_) if grace == GRACE => {
+                let finding = Finding::StopTookTooLong { machine };
+                self.history.lock().findings.push(finding);
+            }
+            // It was cut short on purpose.
+            Err(_) => {}
+        }
         self.kill(machine, slot);
     }
 
