Followers in virtual time use the product's choice of replicas, and changes have to be in force

Why tests missed the incident: this simulator wrote the choice of replicas again, one after the other, and judged only that nothing goes back and that all ends well. New: 48 sites under frozen, killed and cut replicas; without the guard (a node that leaves its replica before another proved) changes are late. The tests that were there stand, with the same faults and counts; a node that starts knows one drawn replica at first, as on machines, which the variant without a quorum needs to be caught.

--- /dev/null
+++ b/crates/simulator/src/state_sim/connection.rs
@@ -0,0 +1,81 @@
+//! A node's connection to one incarnation of a replica, with the frames on their way on it.
+
+use std::collections::VecDeque;
+
+use model::Microseconds;
+use tokio::sync::mpsc;
+use transport::{Frame, FrameSender};
+
+/// Frames that a replica's channel to a follower holds.
+const CHANNEL_CAPACITY: usize = 1_024;
+
+/// Frames with the times at which they arrive.
+type FramesInFlight = VecDeque<(Microseconds, Frame)>;
+
+/// A connection, or an attempt to open one.
+pub(super) struct UpdateConnection {
+    pub replica: usize,
+    /// Of the replica's process; `None` until the connection is open.
+    pub incarnation: Option<u64>,
+    /// When the attempt reaches the replica.
+    pub arrives_at: Microseconds,
+    /// When the attempt is given up.
+    pub times_out_at: Microseconds,
+    /// What the replica sends with.
+    pub sender: FrameSender,
+    outgoing: mpsc::Receiver<Frame>,
+    to_replica: FramesInFlight,
+    to_node: FramesInFlight,
+}
+
+impl UpdateConnection {
+    pub(super) fn new(
+        replica: usize,
+        arrives_at: Microseconds,
+        times_out_at: Microseconds,
+    ) -> UpdateConnection {
+        let (sender, outgoing) = mpsc::channel(CHANNEL_CAPACITY);
+        UpdateConnection {
+            replica,
+            incarnation: None,
+            arrives_at,
+            times_out_at,
+            sender,
+            outgoing,
+            to_replica: FramesInFlight::default(),
+            to_node: FramesInFlight::default(),
+        }
+    }
+
+    /// The node sends a frame, which arrives at `at` or after those before it.
+    pub(super) fn send_to_replica(&mut self, at: Microseconds, frame: Frame) {
+        push_in_order(&mut self.to_replica, at, frame);
+    }
+
+    /// Puts what the replica has sent on its way, to arrive at `at` or after those before it.
+    pub(super) fn send_to_node(&mut self, at: Microseconds) {
+        while let Ok(frame) = self.outgoing.try_recv() {
+            push_in_order(&mut self.to_node, at, frame);
+        }
+    }
+
+    /// The next frame that has arrived at the replica.
+    pub(super) fn arrived_at_replica(&mut self, now: Microseconds) -> Option<Frame> {
+        pop_due(&mut self.to_replica, now)
+    }
+
+    /// The next frame that has arrived at the node.
+    pub(super) fn arrived_at_node(&mut self, now: Microseconds) -> Option<Frame> {
+        pop_due(&mut self.to_node, now)
+    }
+}
+
+fn push_in_order(frames: &mut FramesInFlight, at: Microseconds, frame: Frame) {
+    let after = frames.back().map_or(0, |(before, _)| *before);
+    frames.push_back((at.max(after), frame));
+}
+
+fn pop_due(frames: &mut FramesInFlight, now: Microseconds) -> Option<Frame> {
+    let due = frames.pop_front_if(|(at, _)| *at <= now);
+    due.map(|(_, frame)| frame)
+}
--- a/crates/simulator/src/state_sim/node.rs
+++ b/crates/simulator/src/state_sim/node.rs
@@ -1,51 +1,92 @@
-//! A follower: a node's promptbook, and the conn it is told on (design 11.3).
+//! A node that follows the cluster state, with the product's choice of replicas and verification.
 
-use control::updates::verification::{ProofRequests, StateFollower, UpdateOutcome};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use control::updates::upstreams::{
+    Action, Candidate, LeaveReason, ReplicaKey, UpstreamId, UpstreamTiming, Upstreams,
+};
+use control::updates::verification::{StateFollower, UpdateOutcome};
 use model::cluster_state::StateSnapshot;
 use model::{Microseconds, Position};
-use std::collections::VecDeque;
-use std::sync::Arc;
+use transport::Frame;
 
-type FramesInFlight = VecDeque<(Microseconds, transport::Frame)>;
-
-/// A conn to one life of a seat, with what is on its way on it.
-pub(super) struct UpdateConnection {
-    pub replica: usize,
-    pub incarnation: u64,
-    pub sender: transport::FrameSender,
-    pub frames: tokio::sync::mpsc::Receiver<transport::Frame>,
-    pub to_replica: FramesInFlight,
-    pub to_node: FramesInFlight,
-    pub proved: bool,
-}
+use super::connection::UpdateConnection;
+use super::plan::{DisabledGuards, StatePlan};
+use super::replica::PublishingReplica;
+use crate::sim::World;
+
+/// How long opening a connection may take.
+const HANDSHAKE_TIMEOUT: Microseconds = 1_000_000;
+/// A process that starts knows one replica, its seed; so long after its start it knows all.
+const DISCOVERY_TIME: Microseconds = 200_000;
 
-#[derive(Default)]
+/// One node, over all its incarnations.
 pub(super) struct FollowerNode {
+    is_own_zone: Vec<bool>,
+    upstreams: Upstreams,
     pub follower: StateFollower,
-    /// The proofs requested on the present connection.
-    pub requests: ProofRequests,
-    pub connection: Option<UpdateConnection>,
-    /// The process does not run until then; the path to the core is cut, what comes is late until then.
+    connections: BTreeMap<UpstreamId, UpdateConnection>,
+    next_poll_at: Microseconds,
+    /// The replica that the present incarnation knows first.
+    seed_replica: usize,
+    /// Its process does not run until then.
     pub down_until: Microseconds,
+    /// It reaches no replica until then.
     pub cut_until: Microseconds,
+    /// What it receives is late until then.
     pub stalled_until: Microseconds,
-    /// It is rolled then.
+    /// It is restarted then.
     restarts_at: Option<Microseconds>,
-    pub dials_at: Microseconds,
-    pub asks_at: Microseconds,
-    pub next_replica: usize,
-    /// The newest it served from, and the newest it was told, in any life.
+    /// The newest position that any of its incarnations served from.
     pub highest_served: Position,
-    pub highest_received: Position,
-    /// In this life something was proved.
+    /// The newest position that any of its incarnations received.
+    highest_received: Position,
+    /// Something was proved in this incarnation.
     has_verified: bool,
+    /// How often an incarnation received less than an earlier one had, before its first proof.
     pub older_received: usize,
 }
 
+fn new_upstreams(plan: &StatePlan, seed: u64) -> Upstreams {
+    let timing = UpstreamTiming {
+        proof_interval: plan.proof_interval,
+        proof_timeout: plan.proof_interval,
+    };
+    Upstreams::new(timing, plan.seed ^ seed)
+}
+
 impl FollowerNode {
-    pub(super) fn crash(&mut self, until: Microseconds) {
-        (self.follower, self.connection, self.has_verified) =
-            (StateFollower::default(), None, false);
+    pub(super) fn new(plan: &StatePlan, index: usize) -> FollowerNode {
+        let zone = index % plan.zone_count;
+        let replicas = 0..usize::from(plan.replica_count);
+        FollowerNode {
+            is_own_zone: replicas
+                .map(|replica| replica % plan.zone_count == zone)
+                .collect(),
+            upstreams: new_upstreams(plan, index as u64),
+            follower: StateFollower::default(),
+            connections: BTreeMap::new(),
+            next_poll_at: 0,
+            seed_replica: 0,
+            down_until: 0,
+            cut_until: 0,
+            stalled_until: 0,
+            restarts_at: None,
+            highest_served: 0,
+            highest_received: 0,
+            has_verified: false,
+            older_received: 0,
+        }
+    }
+
+    pub(super) fn crash(&mut self, plan: &StatePlan, until: Microseconds, seed_replica: usize) {
+        self.seed_replica = seed_replica;
+        self.upstreams = new_upstreams(plan, until);
+        self.follower = StateFollower::default();
+        self.connections.clear();
+        self.has_verified = false;
+        self.next_poll_at = 0;
         self.down_until = self.down_until.max(until);
     }
 
@@ -57,46 +98,231 @@
         self.restarts_at.take_if(|at| now >= *at).is_some()
     }
 
-    /// A new conn, and what is said first on it.
-    pub(super) fn begin_connection(&mut self, without: &super::DisabledGuards) -> transport::Frame {
-        if without.forward {
+    /// All that happens to the node in one step, while its process runs.
+    pub(super) fn step(
+        &mut self,
+        plan: &StatePlan,
+        world: &mut World,
+        replicas: &mut [PublishingReplica],
+    ) {
+        let now = world.now;
+        if now >= self.cut_until {
+            for id in self.connection_ids() {
+                self.exchange(id, plan, world, replicas);
+            }
+        }
+        self.time_out_attempts(now);
+        if now >= self.next_poll_at {
+            let candidates = self.candidates(now);
+            for action in self.upstreams.poll(now, &candidates) {
+                self.perform(action, plan, world);
+            }
+            self.next_poll_at = self.upstreams.next_poll_at(now);
+        }
+    }
+
+    fn connection_ids(&self) -> Vec<UpstreamId> {
+        self.connections.keys().copied().collect()
+    }
+
+    fn candidates(&self, now: Microseconds) -> Vec<Candidate> {
+        let candidate = |(replica, is_own_zone): (usize, &bool)| Candidate {
+            key: ReplicaKey {
+                replica_id: replica as u16,
+                disk_id: 1,
+            },
+            address: replica.to_string(),
+            is_own_zone: *is_own_zone,
+        };
+        let mut candidates: Vec<Candidate> =
+            self.is_own_zone.iter().enumerate().map(candidate).collect();
+        candidates.sort_by_key(|candidate| !candidate.is_own_zone);
+        if now < self.down_until + DISCOVERY_TIME {
+            let seed = self.seed_replica as u16;
+            candidates.retain(|candidate| candidate.key.replica_id == seed);
+        }
+        candidates
+    }
+
+    fn perform(&mut self, action: Action, plan: &StatePlan, world: &mut World) {
+        match action {
+            Action::Dial {
+                upstream,
+                candidate,
+            } => {
+                if plan.disabled.keep_replica {
+                    self.leave_all_but(upstream, world.now);
+                }
+                let arrives_at = world.now + world.draw(plan.network_delay);
+                let replica = usize::from(candidate.key.replica_id);
+                let times_out_at = world.now + HANDSHAKE_TIMEOUT;
+                let connection = UpdateConnection::new(replica, arrives_at, times_out_at);
+                self.connections.insert(upstream, connection);
+            }
+            Action::RequestProof { upstream, frame } => self.send(upstream, frame, plan, world),
+            Action::Close { upstream, .. } => drop(self.connections.remove(&upstream)),
+        }
+    }
+
+    /// As a node without the guard does: it has one connection at a time.
+    fn leave_all_but(&mut self, kept: UpstreamId, now: Microseconds) {
+        for id in self.connection_ids() {
+            if id != kept {
+                self.upstreams.on_ended(now, id, LeaveReason::Closed);
+                self.connections.remove(&id);
+            }
+        }
+    }
+
+    fn send(&mut self, upstream: UpstreamId, frame: Frame, plan: &StatePlan, world: &mut World) {
+        let arrives_at = world.now + world.draw(plan.network_delay);
+        if let Some(connection) = self.connections.get_mut(&upstream) {
+            connection.send_to_replica(arrives_at, frame);
+        }
+    }
+
+    fn end(&mut self, id: UpstreamId, now: Microseconds, reason: LeaveReason) {
+        self.connections.remove(&id);
+        self.upstreams.on_ended(now, id, reason);
+        self.next_poll_at = now;
+    }
+
+    fn time_out_attempts(&mut self, now: Microseconds) {
+        let overdue = |connection: &UpdateConnection| {
+            connection.incarnation.is_none() && now >= connection.times_out_at
+        };
+        let connections = self.connections.iter();
+        let silent = connections.filter(|(_, connection)| overdue(connection));
+        let silent: Vec<UpstreamId> = silent.map(|(id, _)| *id).collect();
+        for id in silent {
+            self.end(id, now, LeaveReason::Unreachable);
+        }
+    }
+
+    /// Opens, ends, or carries frames in both directions.
+    fn exchange(
+        &mut self,
+        id: UpstreamId,
+        plan: &StatePlan,
+        world: &mut World,
+        replicas: &mut [PublishingReplica],
+    ) {
+        let now = world.now;
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let replica = connection.replica;
+        let process = &world.replicas[replica];
+        let running_incarnation = process.replica.is_some().then_some(process.incarnation);
+        match connection.incarnation {
+            None if now < connection.arrives_at => return,
+            None if running_incarnation.is_none() => {
+                return self.end(id, now, LeaveReason::Unreachable);
+            }
+            // A process that stands still accepts nothing and refuses nothing.
+            None if !world.is_running(replica) => return,
+            None => {
+                connection.incarnation = running_incarnation;
+                self.open(id, plan, world);
+            }
+            incarnation if incarnation != running_incarnation => {
+                return self.end(id, now, LeaveReason::Closed);
+            }
+            Some(_) => {}
+        }
+        if world.is_running(replica) {
+            self.deliver_to_replica(id, now, &mut replicas[replica]);
+        }
+        self.deliver_to_node(id, plan, world);
+    }
+
+    fn open(&mut self, id: UpstreamId, plan: &StatePlan, world: &mut World) {
+        if plan.disabled.forward {
             self.follower = StateFollower::default();
         }
-        self.requests = ProofRequests::default();
-        transport::Frame::FollowClusterState {
+        let request = Frame::FollowClusterState {
             held_position: self.follower.held_position(),
+        };
+        self.send(id, request, plan, world);
+        let replica = self
+            .connections
+            .get(&id)
+            .map(|connection| connection.replica);
+        let is_own_zone = replica.is_some_and(|replica| self.is_own_zone[replica]);
+        self.upstreams.on_connected(world.now, id, is_own_zone);
+        self.next_poll_at = world.now;
+    }
+
+    fn deliver_to_replica(
+        &mut self,
+        id: UpstreamId,
+        now: Microseconds,
+        to: &mut PublishingReplica,
+    ) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        while let Some(frame) = connection.arrived_at_replica(now) {
+            let sender = connection.sender.clone();
+            match frame {
+                Frame::FollowClusterState { held_position } => {
+                    to.publisher.add_follower(held_position, sender);
+                }
+                Frame::RequestProof { request_id } => {
+                    to.publisher.request_proof(request_id, sender)
+                }
+                _ => {}
+            }
         }
     }
 
-    /// False when the conn is of no use any more.
-    pub(super) fn receive(&mut self, frame: transport::Frame) -> bool {
-        if let transport::Frame::ClusterStateUpdate { to, .. } = &frame
+    fn deliver_to_node(&mut self, id: UpstreamId, plan: &StatePlan, world: &mut World) {
+        let now = world.now;
+        let arrives_at = now + world.draw(plan.network_delay);
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        connection.send_to_node(arrives_at.max(self.stalled_until));
+        while let Some(connection) = self.connections.get_mut(&id)
+            && let Some(frame) = connection.arrived_at_node(now)
+        {
+            self.receive(id, frame, plan, world);
+        }
+    }
+
+    fn receive(&mut self, id: UpstreamId, frame: Frame, plan: &StatePlan, world: &mut World) {
+        let now = world.now;
+        if let Frame::ClusterStateUpdate { to, .. } = &frame
             && !self.has_verified
             && *to < self.highest_received
         {
             self.older_received += 1;
         }
-        let heard = self.follower.handle_frame(frame, &mut self.requests);
-        if heard == UpdateOutcome::Verified {
-            self.has_verified = true;
-            self.connection
-                .iter_mut()
-                .for_each(|line| line.proved = true);
-        }
-        self.highest_received = self.highest_received.max(self.follower.received().position);
-        heard != UpdateOutcome::Inconsistent
-    }
-
-    /// What its lanes are served from.
-    pub(super) fn served_state(
-        &self,
-        without: &super::DisabledGuards,
-    ) -> Option<Arc<StateSnapshot>> {
-        let told = || Some(self.follower.received().clone()).filter(|told| told.position > 0);
-        if without.proof || without.forward && self.has_verified {
-            told()
+        let Some(requests) = self.upstreams.requests_of(id) else {
+            return;
+        };
+        let outcome = self.follower.handle_frame(frame, requests);
+        self.highest_received = self.highest_received.max(self.follower.held_position());
+        match outcome {
+            UpdateOutcome::Verified => {
+                self.has_verified = true;
+                for action in self.upstreams.on_verified(now, id) {
+                    self.perform(action, plan, world);
+                }
+                self.next_poll_at = now;
+            }
+            UpdateOutcome::Inconsistent => self.end(id, now, LeaveReason::Inconsistent),
+            UpdateOutcome::Updated | UpdateOutcome::Ignored => {}
+        }
+    }
+
+    /// What its routes are served from.
+    pub(super) fn served_state(&self, disabled: &DisabledGuards) -> Option<Arc<StateSnapshot>> {
+        if disabled.proof || disabled.forward && self.has_verified {
+            let received = self.follower.received().clone();
+            Some(received).filter(|received| received.position > 0)
         } else {
-            self.follower.verified().map(|outlook| outlook.snapshot)
+            self.follower.verified().map(|verified| verified.snapshot)
         }
     }
 }
--- a/crates/simulator/src/state_sim/replica.rs
+++ b/crates/simulator/src/state_sim/replica.rs
@@ -1,79 +1,109 @@
-//! A core seat's desk over what its ordering machine has applied, as the daemon's owner keeps it (design 8.1, 11.3).
+//! A replica's publisher over what its log has applied, as the event loop of the product keeps it.
+
+use std::collections::BTreeMap;
 
 use control::updates::publisher::{EntryId, UpdatePublisher};
-use model::Position;
+use mencius::{Instance, Value};
 use model::cluster_state::{ClusterOperation, StateSnapshot};
-use std::collections::BTreeMap;
+use model::{ClusterState, Entry, Microseconds, Operation, Position};
+
+/// The cluster state at a position, and when it was applied for the first time anywhere.
+pub(super) struct AppliedState {
+    pub snapshot: StateSnapshot,
+    pub applied_at: Microseconds,
+}
 
+/// What followers may hold at each position.
+pub(super) type StateHistory = BTreeMap<Position, AppliedState>;
+
+/// One incarnation of a replica.
 #[derive(Default)]
 pub(super) struct PublishingReplica {
     pub publisher: UpdatePublisher,
     pub incarnation: u64,
-    folded: usize,
-    last: u64,
+    applied_count: usize,
+    last_instance: Instance,
 }
 
-/// What followers may hold at each position.
-pub(super) type StateHistory = BTreeMap<Position, StateSnapshot>;
+/// An entry of the cluster state, with its id.
+struct ClusterEntry {
+    id: EntryId,
+    operation: ClusterOperation,
+}
 
-fn operation(
-    (instance, value): &(mencius::Instance, mencius::Value),
-) -> Option<(u64, EntryId, ClusterOperation)> {
-    let entry = model::Entry::from_bytes(value).ok()?;
-    let asked = EntryId::of(&entry);
-    if let model::Operation::ClusterState(act) = entry.operation {
-        Some((*instance, asked, act))
-    } else {
-        None
+impl ClusterEntry {
+    /// `None` for entries of the other state machine.
+    fn decode((_, value): &(Instance, Value)) -> Option<ClusterEntry> {
+        let entry = Entry::from_bytes(value).ok()?;
+        let id = EntryId::of(&entry);
+        match entry.operation {
+            Operation::ClusterState(operation) => Some(ClusterEntry { id, operation }),
+            _ => None,
+        }
     }
 }
 
+fn record(history: &mut StateHistory, state: &ClusterState, now: Microseconds) {
+    let entry = history.entry(state.position);
+    entry.or_insert_with(|| AppliedState {
+        snapshot: StateSnapshot::default().updated(true, state.position, state.full_deltas()),
+        applied_at: now,
+    });
+}
+
 impl PublishingReplica {
-    pub(super) fn begin(life: u64) -> PublishingReplica {
+    pub(super) fn begin(incarnation: u64) -> PublishingReplica {
         PublishingReplica {
-            incarnation: life,
+            incarnation,
             ..Default::default()
         }
     }
 
-    /// All that was applied since the last time leaves as one piece; what was installed, as a whole.
-    pub(super) fn fold(
+    /// Publishes all that was applied since the last time as one update; what was installed from a
+    /// snapshot, as the full state.
+    pub(super) fn publish_applied(
         &mut self,
-        history: &[(mencius::Instance, mencius::Value)],
-        truth: &mut StateHistory,
+        applied: &[(Instance, Value)],
+        history: &mut StateHistory,
+        now: Microseconds,
     ) {
-        let follows = self.folded == 0
-            || history
-                .get(self.folded - 1)
-                .is_some_and(|(at, _)| *at == self.last);
-        let mut learn = |bill: &model::ClusterState| {
-            truth.entry(bill.position).or_insert_with(|| {
-                StateSnapshot::default().updated(true, bill.position, bill.full_deltas())
-            });
-        };
-        if follows {
-            history[self.folded..]
+        if self.continues(applied) {
+            for entry in applied[self.applied_count..]
                 .iter()
-                .filter_map(operation)
-                .for_each(|(_, asked, act)| {
-                    drop(self.publisher.apply(&asked, act));
-                    learn(&self.publisher.cluster_state);
-                });
+                .filter_map(ClusterEntry::decode)
+            {
+                drop(self.publisher.apply(&entry.id, entry.operation));
+                record(history, &self.publisher.cluster_state, now);
+            }
         } else {
-            let mut bill = model::ClusterState::default();
-            history
-                .iter()
-                .filter_map(operation)
-                .for_each(|(_, asked, act)| {
-                    drop(bill.apply(&asked.origin, asked.incarnation, asked.sequence, act));
-                    learn(&bill);
-                });
-            self.publisher.install(bill);
+            self.install(applied, history, now);
         }
         self.publisher.publish();
-        (self.folded, self.last) = (
-            history.len(),
-            history.last().map(|(at, _)| *at).unwrap_or(0),
-        );
+        self.applied_count = applied.len();
+        self.last_instance = applied.last().map_or(0, |(instance, _)| *instance);
+    }
+
+    /// Whether `applied` begins with what was published before.
+    fn continues(&self, applied: &[(Instance, Value)]) -> bool {
+        let last = self.applied_count.checked_sub(1);
+        last.is_none_or(|last| {
+            let entry = applied.get(last);
+            entry.is_some_and(|(instance, _)| *instance == self.last_instance)
+        })
+    }
+
+    fn install(
+        &mut self,
+        applied: &[(Instance, Value)],
+        history: &mut StateHistory,
+        now: Microseconds,
+    ) {
+        let mut state = ClusterState::default();
+        for entry in applied.iter().filter_map(ClusterEntry::decode) {
+            let ClusterEntry { id, operation } = entry;
+            drop(state.apply(&id.origin, id.incarnation, id.sequence, operation));
+            record(history, &state, now);
+        }
+        self.publisher.install(state);
     }
 }
--- a/crates/simulator/tests/state_sim.rs
+++ b/crates/simulator/tests/state_sim.rs
@@ -1,74 +1,114 @@
-//! Followers of the bill in virtual time: restarts in turn and together, late and older bulletins, lagging seats, a core
-//! that is cut, killed and replaced; and variants that each lack one guard (design 11.6).
+//! Followers of the cluster state in virtual time: restarts in turn and together, late and older
+//! updates, replicas that lag, freeze, are cut off, killed and replaced; and variants that each lack
+//! one guard (design 11.3, 11.6).
+
+use std::ops::Range;
+use std::thread;
 
 use simulator::state_sim::{
-    DisabledGuards, FAULTS, Fault, ScheduledFault, StateHarness, StatePlan, draw_faults, play,
+    DisabledGuards, FAULTS, Fault, IN_FORCE_FAULTS, ScheduledFault, StatePlan, draw_faults, play,
 };
-use std::ops::Range;
 
+/// The results of `work` for each seed, on all processors.
 fn over<T: Send>(seeds: Range<u64>, work: impl Fn(u64) -> T + Sync) -> Vec<T> {
-    let cores = std::thread::available_parallelism()
-        .map(usize::from)
-        .unwrap_or(1) as u64;
-    std::thread::scope(|scope| {
+    let cores = thread::available_parallelism().map_or(1, usize::from) as u64;
+    thread::scope(|scope| {
         let work = &work;
-        let turns = (0..cores).map(|core| {
+        let threads = (0..cores).map(|core| {
             let own = seeds.clone().filter(move |seed| seed % cores == core);
             scope.spawn(move || own.map(work).collect::<Vec<_>>())
         });
-        turns
-            .collect::<Vec<_>>()
-            .into_iter()
-            .flat_map(|turn| turn.join().expect("a run"))
+        let threads: Vec<_> = threads.collect();
+        let results = threads.into_iter();
+        results
+            .flat_map(|thread| thread.join().expect("a run"))
             .collect()
     })
 }
 
 #[test]
-fn a_node_that_restarts_never_serves_an_older_bill_than_it_had() {
+fn a_node_that_restarts_never_serves_an_older_state_than_it_had() {
     let played = over(0..160, |seed| {
-        let stage = play(StatePlan::new(seed), &draw_faults(&FAULTS, seed, 10));
-        assert_eq!(stage.violations, Vec::<String>::new(), "seed {seed}");
-        (stage.checked, stage.restarts, stage.older_received())
+        let harness = play(StatePlan::new(seed), &draw_faults(&FAULTS, seed, 10, 1));
+        assert_eq!(harness.violations, Vec::<String>::new(), "seed {seed}");
+        (harness.checked, harness.restarts, harness.older_received())
     });
-    let (judged, restarts, older) = played.into_iter().fold((0, 0, 0), |sum, one| {
+    let sum = played.into_iter().fold((0, 0, 0), |sum, one| {
         (sum.0 + one.0, sum.1 + one.1, sum.2 + one.2)
     });
-    // Nodes that had begun anew were told older bills than they had, and did not serve them.
+    let (checked, restarts, older) = sum;
+    // Nodes that had restarted received older states than they had held, and did not serve them.
     assert!(
-        judged > 1_000_000 && restarts > 1_000 && older > 50,
-        "{judged} judged, {restarts} restarts, {older} older bulletins"
+        checked > 1_000_000 && restarts > 1_000 && older > 50,
+        "{checked} judged, {restarts} restarts, {older} older updates"
     );
 }
 
-/// Seeds and blows alike: held with every guard, and without one the promise is seen broken.
-fn caught(without: DisabledGuards, kinds: &[Fault]) {
-    let blows = |seed| -> Vec<ScheduledFault> { draw_faults(kinds, seed, 8) };
+/// Sites whose zones have one, two or three replicas.
+fn zoned(seed: u64, disabled: DisabledGuards) -> StatePlan {
+    StatePlan {
+        replica_count: [5, 7][(seed % 2) as usize],
+        zone_count: [2, 3, 4][(seed % 3) as usize],
+        node_count: 4,
+        disabled,
+        ..StatePlan::new(seed)
+    }
+}
+
+fn long_faults(seed: u64) -> Vec<ScheduledFault> {
+    draw_faults(&IN_FORCE_FAULTS, seed, 6, 4)
+}
+
+#[test]
+fn a_change_is_in_force_in_time_whichever_replicas_are_silent() {
+    let lateness = over(0..48, |seed| {
+        let harness = play(zoned(seed, DisabledGuards::default()), &long_faults(seed));
+        assert_eq!(harness.violations, Vec::<String>::new(), "seed {seed}");
+        harness.longest_lateness
+    });
+    assert!(lateness.iter().any(|longest| *longest > 500_000));
+}
+
+#[test]
+fn nodes_that_leave_a_replica_before_another_has_proved_are_caught() {
+    let disabled = DisabledGuards {
+        keep_replica: true,
+        ..DisabledGuards::default()
+    };
+    let late = over(0..48, |seed| {
+        let harness = play(zoned(seed, disabled), &long_faults(seed));
+        let mut violations = harness.violations.iter();
+        violations.any(|violation| violation.starts_with("late"))
+    });
+    assert!(late.contains(&true), "no node was seen to be late");
+}
+
+/// With every guard the promise holds under these faults, and without one it is seen broken under
+/// the same.
+fn assert_caught(disabled: DisabledGuards, kinds: &[Fault]) {
     let breaks = |seed: u64| {
-        let whole: StateHarness = play(StatePlan::new(seed), &blows(seed));
+        let faults = draw_faults(kinds, seed, 8, 1);
+        let guarded = play(StatePlan::new(seed), &faults);
         assert_eq!(
-            whole.violations,
+            guarded.violations,
             Vec::<String>::new(),
             "seed {seed}: it holds with its guards"
         );
-        play(
-            StatePlan {
-                disabled: without,
-                ..StatePlan::new(seed)
-            },
-            &blows(seed),
-        )
-        .violations
-        .iter()
-        .any(|told| told.starts_with("back"))
+        let plan = StatePlan {
+            disabled,
+            ..StatePlan::new(seed)
+        };
+        let unguarded = play(plan, &faults);
+        let mut violations = unguarded.violations.iter();
+        violations.any(|violation| violation.starts_with("back"))
     };
     assert!(
         (0..4u64).any(|turn| over(turn * 8..turn * 8 + 8, breaks).contains(&true)),
-        "{without:?}: nobody was seen to go back"
+        "{disabled:?}: nobody was seen to go back"
     );
 }
 
-const LAGS: [Fault; 5] = [
+const LAGGING: [Fault; 5] = [
     Fault::CutReplica,
     Fault::RestartNode,
     Fault::CutReplica,
@@ -77,39 +117,34 @@
 ];
 
 #[test]
-fn bills_served_before_a_proof_are_caught() {
-    caught(
-        DisabledGuards {
-            proof: true,
-            ..Default::default()
-        },
-        &LAGS,
-    );
+fn states_served_before_a_proof_are_caught() {
+    let disabled = DisabledGuards {
+        proof: true,
+        ..DisabledGuards::default()
+    };
+    assert_caught(disabled, &LAGGING);
 }
 
 #[test]
 fn proofs_that_ask_no_majority_are_caught() {
-    caught(
-        DisabledGuards {
-            quorum: true,
-            ..Default::default()
-        },
-        &LAGS,
-    );
+    let disabled = DisabledGuards {
+        quorum: true,
+        ..DisabledGuards::default()
+    };
+    assert_caught(disabled, &LAGGING);
 }
 
 #[test]
-fn nodes_that_forget_what_they_hold_at_a_new_conn_are_caught() {
-    caught(
-        DisabledGuards {
-            forward: true,
-            ..Default::default()
-        },
-        &[
-            Fault::CutReplica,
-            Fault::CutNode,
-            Fault::CrashReplica,
-            Fault::DelayUpdates,
-        ],
-    );
+fn nodes_that_forget_what_they_hold_at_a_new_connection_are_caught() {
+    let disabled = DisabledGuards {
+        forward: true,
+        ..DisabledGuards::default()
+    };
+    let kinds = [
+        Fault::CutReplica,
+        Fault::CutNode,
+        Fault::CrashReplica,
+        Fault::DelayUpdates,
+    ];
+    assert_caught(disabled, &kinds);
 }
