--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -143,14 +143,8 @@
     ) -> Option<BackendOrder> {
         let mut connection = None;
         loop {
-            let heartbeat = Heartbeat {
-                control: self.control,
-                address: self.address,
-                zone: &self.zone,
-                incarnation,
-                draining: false,
-            };
             *sequence += 1;
+            let heartbeat = self.heartbeat(incarnation, false);
             let pause = heartbeat.send(&mut connection, *sequence).await;
             tokio::select! {
                 order = self.orders.recv() => return order,
@@ -162,18 +156,26 @@
     async fn heartbeat_while_draining(&self, incarnation: &Incarnation, sequence: &mut u64) {
         let mut connection = None;
         loop {
-            let heartbeat = Heartbeat {
-                control: self.control,
-                address: self.address,
-                zone: &self.zone,
-                incarnation,
-                draining: true,
-            };
             *sequence += 1;
+            let heartbeat = self.heartbeat(incarnation, true);
             let pause = heartbeat.send(&mut connection, *sequence).await;
             sleep(pause).await;
         }
     }
+
+    fn heartbeat<'run>(
+        &'run self,
+        incarnation: &'run Incarnation,
+        draining: bool,
+    ) -> Heartbeat<'run> {
+        Heartbeat {
+            control: self.control,
+            address: self.address,
+            zone: &self.zone,
+            incarnation,
+            draining,
+        }
+    }
 }
 
 /// Binds again at once where an earlier incarnation has just ended.
