Reproduce: a core machine killed while it makes its store never starts again

The database writes its magic number after everything else. The closing profile, as many disks lost as the site bears while all else is killed, is new in the soak.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -27,7 +27,7 @@
   --zones N         zones (4)
   --losses N        core machines that may be lost at once (2)
   --seconds N       how long each run lasts (40)
-  --profile NAME    calm, mixed, zone-freeze (mixed)
+  --profile NAME    calm, mixed, zone-freeze, closing (mixed)
   --clients N       clients at each node (2)
   --client-pause N  the longest pause of a client, in milliseconds (120)
   --pause N         the longest pause of an operator, in milliseconds (400)
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,10 @@
 pub const FIRST_FAULT_AT: Micros = 6 * SECOND;
 /// Nothing new begins so long before the end.
 const LAST_FAULT_BEFORE_END: Micros = 8 * SECOND;
+/// The closing fault strikes so long before the end: service may rest for fifteen seconds.
+const CLOSING_BEFORE_END: Micros = 18 * SECOND;
+/// By then every machine that was lost is back for long enough not to count as lost.
+const LAST_FAULT_BEFORE_CLOSING: Micros = 22 * SECOND;
 /// The shortest and the longest pause between the beginnings of two faults.
 const FAULT_PAUSE: (Micros, Micros) = (100 * MILLISECOND, 2_500 * MILLISECOND);
 /// How long a freeze lasts: some are over before anyone suspects, some last past the time in which
@@ -69,6 +73,9 @@
     Mixed,
     /// Core machines of one zone are frozen together, for long.
     ZoneFreeze,
+    /// Everything, and near the end as many disks as may be lost while all other processes are
+    /// killed.
+    Closing,
 }
 
 impl Profile {
@@ -78,6 +85,7 @@
             "calm" => Some(Profile::Calm),
             "mixed" => Some(Profile::Mixed),
             "zone-freeze" => Some(Profile::ZoneFreeze),
+            "closing" => Some(Profile::Closing),
             _ => None,
         }
     }
@@ -98,6 +106,11 @@
         Profile::Calm => {}
         Profile::Mixed => planner.draw_mixed(end),
         Profile::ZoneFreeze => planner.draw_zone_freezes(end),
+        Profile::Closing => {
+            let at = duration.saturating_sub(CLOSING_BEFORE_END);
+            planner.draw_mixed(at.saturating_sub(LAST_FAULT_BEFORE_CLOSING));
+            planner.draw_closing(at);
+        }
     }
     planner.faults.sort_by_key(|planned| planned.at);
     planner.faults
@@ -255,6 +268,25 @@
         self.push(at, Machine::Node(node), fault);
     }
 
+    /// Every process is killed at one moment, and as many disks are lost as the site bears.
+    fn draw_closing(&mut self, at: Micros) {
+        let standing = (0..self.next_spare).filter(|core| !self.replaced.contains(core));
+        let mut cores: Vec<usize> = standing.collect();
+        cores.shuffle(&mut self.rng);
+        for (turn, core) in cores.into_iter().enumerate() {
+            let away = self.between((50 * MILLISECOND, SECOND));
+            let fault = match turn < self.site.machine_losses {
+                true => Fault::LoseDisk(away),
+                false => Fault::Kill(away),
+            };
+            self.push(at, Machine::Core(core), fault);
+        }
+        for node in 0..self.site.nodes {
+            let away = self.between((50 * MILLISECOND, SECOND));
+            self.push(at, Machine::Node(node), Fault::Kill(away));
+        }
+    }
+
     /// Every process is killed at one moment; the disks remain.
     fn draw_everything_killed(&mut self, at: Micros) {
         self.draw_all_cores_killed(at);
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -76,9 +76,21 @@
     /// [`Error::Folder`], [`Error::Store`], [`Error::Layout`], or [`Error::Damaged`] if a record
     /// does not fit its digest.
     pub fn open(folder: &Path) -> Result<RecoveredStore, Error> {
+        Self::open_with_creator(folder, |path| Ok(Database::create(path)?))
+    }
+
+    /// As [`open`](ReplicaStore::open), with the way in which a file is made: the tests of
+    /// processes that end meanwhile bring their own (design 9.4).
+    ///
+    /// # Errors
+    /// As [`open`](ReplicaStore::open), and those of `create`.
+    pub fn open_with_creator(
+        folder: &Path,
+        create: impl Fn(&Path) -> Result<Database, Error> + Send + 'static,
+    ) -> Result<RecoveredStore, Error> {
         create_dir_all(folder)?;
         let path = folder.join(FILE_NAME);
-        Self::load(Box::new(move || Ok(Database::create(&path)?)))
+        Self::load(Box::new(move || create(&path)))
     }
 
     /// As [`open`](ReplicaStore::open), over any storage: the tests of disk faults bring their own
