Mend: a store is made under another name and renamed once it is whole

Cause: the database writes its magic number last and refuses for ever a file without one; the store was made in place, so a process killed in the first milliseconds on an empty disk left a folder that no later process opened: one replica gone for good, in addition to what the site bears. Excluded: torn writes after the first commit (power lost at any operation is tested), retirement (one transaction). The same cause elsewhere: the store is the only file that is made. The rename lasts before anything is promised: file and folder are synced.

--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,6 +1,7 @@
 //! The file. Every transaction is synced before it is reported (design 3.3).
 
-use std::fs::create_dir_all;
+use std::fs::{self, File, create_dir_all};
+use std::io;
 use std::path::Path;
 
 use mencius::{ReplicaId, Write};
@@ -17,6 +18,8 @@
 
 /// The file in the data folder.
 const FILE_NAME: &str = "core.redb";
+/// The file while it is being made.
+const UNFINISHED_FILE_NAME: &str = "core.redb.unfinished";
 
 // The names of tables and keys are on the disks of running sites and stay as they are.
 /// Numbers by name: the keys are below.
@@ -89,8 +92,13 @@
         create: impl Fn(&Path) -> Result<Database, Error> + Send + 'static,
     ) -> Result<RecoveredStore, Error> {
         create_dir_all(folder)?;
-        let path = folder.join(FILE_NAME);
-        Self::load(Box::new(move || create(&path)))
+        let folder = folder.to_path_buf();
+        Self::load(Box::new(move || {
+            if !has_store(&folder)? {
+                make_store(&folder, &create)?;
+            }
+            Ok(Database::open(folder.join(FILE_NAME))?)
+        }))
     }
 
     /// As [`open`](ReplicaStore::open), over any storage: the tests of disk faults bring their own
@@ -264,6 +272,34 @@
     start_count: u64,
 }
 
+/// Whether there is a store in the folder. An empty file is none.
+fn has_store(folder: &Path) -> Result<bool, Error> {
+    match fs::metadata(folder.join(FILE_NAME)) {
+        Ok(metadata) => Ok(metadata.len() > 0),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(false),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Makes the store under another name and renames it once it is whole: the process may be killed
+/// meanwhile, and the database never opens a file that it had not finished.
+fn make_store(
+    folder: &Path,
+    create: impl Fn(&Path) -> Result<Database, Error>,
+) -> Result<(), Error> {
+    let unfinished = folder.join(UNFINISHED_FILE_NAME);
+    match fs::remove_file(&unfinished) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error.into()),
+        _ => {}
+    }
+    drop(create(&unfinished)?);
+    File::open(&unfinished)?.sync_all()?;
+    fs::rename(&unfinished, folder.join(FILE_NAME))?;
+    // A name lasts once its folder is synced.
+    File::open(folder)?.sync_all()?;
+    Ok(())
+}
+
 struct JournalRecord {
     position: u64,
     bytes: Vec<u8>,
