--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::Micros;
 use crate::history::{
-    ConfigurationRead, Effect, EventKind, Finding, MachineEvent, Probe, Records, RouteHistory,
-    RouteVersion,
+    CallRecord, ConfigurationRead, Effect, EventKind, Finding, MachineEvent, Probe, Records,
+    RouteHistory, RouteVersion,
 };
 use crate::site::{Bounds, Machine};
 
@@ -46,6 +46,13 @@
         /// The version that had been acknowledged.
         acknowledged: u64,
     },
+    /// A valid call was not acknowledged in time, though the core was calm.
+    NotAcknowledged {
+        /// The call.
+        call: CallRecord,
+        /// How long it waited in one calm stretch.
+        waited: Micros,
+    },
     /// Seen while the run was on.
     Found(Finding),
 }
@@ -82,6 +89,9 @@
         }
     }
     check_no_way_back(&mut verdict, records, bounds);
+    for call in &records.calls {
+        check_call(&mut verdict, *call, bounds, &calm, records.ended_at);
+    }
     for read in &records.reads {
         check_read(&mut verdict, read, &records.routes);
     }
@@ -149,6 +159,23 @@
         .copied()
 }
 
+fn check_call(
+    verdict: &mut Verdict,
+    call: CallRecord,
+    bounds: &Bounds,
+    calm: &CalmTimes,
+    run_ended_at: Micros,
+) {
+    let until = call.acknowledged_at.unwrap_or(run_ended_at);
+    let waited = calm.longest_calm_stretch(call.sent_at, until);
+    let allowed = bounds.acknowledge + bounds.acknowledge_per_route * call.routes as Micros;
+    if waited > allowed {
+        verdict
+            .violations
+            .push(Violation::NotAcknowledged { call, waited });
+    }
+}
+
 fn check_no_way_back(verdict: &mut Verdict, records: &Records, bounds: &Bounds) {
     let mut by_process: BTreeMap<(usize, usize, &str), Vec<&Probe>> = BTreeMap::new();
     for probe in &records.probes {
@@ -337,6 +364,20 @@
         last.is_none_or(|event| event + self.quiet <= at)
     }
 
+    /// The longest time within these in which the core was calm and a majority of it ran.
+    fn longest_calm_stretch(&self, from: Micros, to: Micros) -> Micros {
+        let within = self.core_events.iter().filter(|at| **at <= to);
+        let begins = within.map(|at| at + self.quiet);
+        let stretches = std::iter::once(from).chain(begins).map(|begin| {
+            let begin = begin.max(from);
+            let next_event = self.core_events.iter().find(|at| **at > begin);
+            let end = next_event.map_or(to, |at| (*at).min(to));
+            let calm = end > begin && self.core_is_calm(begin) && self.most_cores_ran(begin, end);
+            if calm { end - begin } else { 0 }
+        });
+        stretches.max().unwrap_or(0)
+    }
+
     fn most_cores_ran(&self, from: Micros, to: Micros) -> bool {
         let before = self.running_cores.iter().rfind(|(at, _)| *at <= from);
         let within = self
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -130,6 +130,17 @@
     },
 }
 
+/// A valid call of an operator.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallRecord {
+    /// When it was first sent.
+    pub sent_at: Micros,
+    /// How many routes it carried.
+    pub routes: usize,
+    /// When it was acknowledged, if it was.
+    pub acknowledged_at: Option<Micros>,
+}
+
 /// Everything recorded in a run.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -141,14 +152,25 @@
     pub reads: Vec<ConfigurationRead>,
     /// What was done to machines, in the order of time.
     pub events: Vec<MachineEvent>,
+    /// Valid calls, acknowledged or not.
+    pub calls: Vec<CallRecord>,
+    /// When the run ended.
+    pub ended_at: Micros,
     /// Violations seen at once.
     pub findings: Vec<Finding>,
     /// Answers by status; 0 for none.
     pub statuses: BTreeMap<u16, u64>,
     /// Processes that ended by a signal while the system was still loading them.
     pub ended_while_loading: usize,
+}
+
+impl Records {
     /// How long acknowledged calls took.
-    pub acknowledgement_times: Vec<Micros>,
+    pub fn acknowledgement_times(&self) -> Vec<Micros> {
+        let calls = self.calls.iter();
+        let times = calls.filter_map(|call| Some(call.acknowledged_at? - call.sent_at));
+        times.collect()
+    }
 }
 
 /// The records of a run that is on, shared by its tasks.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -137,7 +137,8 @@
 fn report(seed: u64, outcome: &Outcome) {
     let verdict = &outcome.verdict;
     let records = &outcome.records;
-    let slowest = records.acknowledgement_times.iter().max();
+    let acknowledgement_times = records.acknowledgement_times();
+    let slowest = acknowledgement_times.iter().max();
     println!(
         "seed {seed}: {} violations, longest lateness in touch {} ms, {} late out of touch, {} probes, {} reads, \
          {} routes, {} calls acknowledged, the slowest after {} ms, {} machine events, {} ended while loading, \
@@ -148,7 +149,7 @@
         verdict.probes,
         verdict.reads,
         records.routes.len(),
-        records.acknowledgement_times.len(),
+        acknowledgement_times.len(),
         slowest.copied().unwrap_or_default() / 1_000,
         records.events.len(),
         records.ended_while_loading,
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -17,7 +17,9 @@
 use tokio::time::sleep;
 
 use crate::clock::{Clock, Micros};
-use crate::history::{ConfigurationRead, Effect, Finding, History, RouteHistory, RouteVersion};
+use crate::history::{
+    CallRecord, ConfigurationRead, Effect, Finding, History, RouteHistory, RouteVersion,
+};
 use crate::http::{self, HttpRequest};
 use crate::site::{CONTROL_PORT, Machine, SERVICES, Site};
 
@@ -152,6 +154,13 @@
     fn record(&self, change: &Change, is_stable: bool) -> Vec<Value> {
         let mut records = self.history.lock();
         let mut items = Vec::new();
+        if let Some((_, version)) = change.routes.first() {
+            records.calls.push(CallRecord {
+                sent_at: version.sent_at,
+                routes: change.routes.len(),
+                acknowledged_at: None,
+            });
+        }
         for (name, version) in &change.routes {
             let host = format!("host-{}.example", name.len() * 7 % HOSTS);
             let prefix = format!("/{name}/");
@@ -207,11 +216,14 @@
                 self.history.acknowledged(route, version.version, answer.at);
             }
         }
-        let sent_at = change.routes.first().map(|(_, version)| version.sent_at);
         let mut records = self.history.lock();
         if answer.status == OK {
-            let took = answer.at - sent_at.unwrap_or(answer.at);
-            records.acknowledgement_times.push(took);
+            let sent_at = change.routes.first().map(|(_, version)| version.sent_at);
+            let mut calls = records.calls.iter_mut();
+            let call = calls.rfind(|call| Some(call.sent_at) == sent_at);
+            if let Some(call) = call {
+                call.acknowledged_at.get_or_insert(answer.at);
+            }
         } else {
             let route = change.routes.first().map(|(route, _)| route.clone());
             records.findings.push(Finding::ValidRefused {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -129,7 +129,8 @@
     clock.sleep_until(config.duration).await;
     // With the tasks go the supervisor and all processes.
     tasks.shutdown().await;
-    let records = history.lock().clone();
+    let mut records = history.lock().clone();
+    records.ended_at = config.duration;
     let verdict = checker::check(&records, &site.bounds, site.cores);
     let site = Site::clone(&site);
     Ok(Outcome {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use crate::clock::{Micros, SECOND};
+use crate::clock::{MILLISECOND, Micros, SECOND};
 
 /// Port at which a node takes its clients' requests.
 pub const OUTBOUND_PORT: u16 = 8147;
@@ -32,6 +32,10 @@
 pub struct Bounds {
     /// A change is in force at calm machines so long after its acknowledgement.
     pub apply: Micros,
+    /// A valid call is acknowledged within this, counted in one stretch in which the core is calm.
+    pub acknowledge: Micros,
+    /// And so much later for each route in it.
+    pub acknowledge_per_route: Micros,
     /// A machine is calm so long after something happened to it, or to the core.
     pub quiet: Micros,
     /// Added to `apply` while the core is not calm.
@@ -46,6 +50,8 @@
     fn default() -> Self {
         Bounds {
             apply: 2 * SECOND,
+            acknowledge: 4 * SECOND,
+            acknowledge_per_route: 3 * MILLISECOND,
             quiet: 3 * SECOND,
             stretch_max: 5 * SECOND,
             revert_slack: SECOND / 4,
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -5,7 +5,8 @@
 use soak::checker::{Verdict, Violation, check};
 use soak::clock::{Micros, SECOND};
 use soak::history::{
-    ConfigurationRead, Effect, EventKind, MachineEvent, Probe, Records, RouteHistory, RouteVersion,
+    CallRecord, ConfigurationRead, Effect, EventKind, MachineEvent, Probe, Records, RouteHistory,
+    RouteVersion,
 };
 use soak::site::{Bounds, Machine};
 
@@ -221,3 +222,31 @@
         "{verdict:?}"
     );
 }
+
+#[test]
+fn a_call_is_acknowledged_in_time_while_the_core_is_calm() {
+    let call = |acknowledged_at: Option<Micros>| CallRecord {
+        sent_at: 20 * SECOND,
+        routes: 100,
+        acknowledged_at,
+    };
+    let judged = |call: CallRecord, events: Vec<MachineEvent>| {
+        let mut records = records();
+        records.ended_at = 40 * SECOND;
+        records.calls = vec![call];
+        records.events = events;
+        judge(&records).violations
+    };
+    let in_time = 24 * SECOND + 300_000;
+    assert_eq!(judged(call(Some(in_time)), Vec::new()), []);
+    let late = judged(call(Some(in_time + 1)), Vec::new());
+    assert!(
+        matches!(late[..], [Violation::NotAcknowledged { waited, .. }] if waited == 4_300_001),
+        "{late:?}"
+    );
+    assert_eq!(judged(call(None), Vec::new()).len(), 1);
+    let disturbed = |at: Micros| event(at, Machine::Core(0), EventKind::Thawed);
+    let events = vec![disturbed(22 * SECOND), disturbed(26 * SECOND)];
+    assert_eq!(judged(call(Some(33 * SECOND)), events.clone()), []);
+    assert_eq!(judged(call(Some(34 * SECOND)), events).len(), 1);
+}
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -51,7 +51,7 @@
         outcome.records.events
     );
     assert!(verdict.probes >= LEAST_PROBES, "{} probes", verdict.probes);
-    let acknowledged = outcome.records.acknowledgement_times.len();
+    let acknowledged = outcome.records.acknowledgement_times().len();
     assert!(
         acknowledged >= LEAST_ACKNOWLEDGED,
         "{acknowledged} acknowledged"
