--- a/crates/control/src/updates/upstreams.rs
+++ b/crates/control/src/updates/upstreams.rs
@@ -409,8 +409,8 @@
     }
 
     /// The first of the candidates that is not connected to. Those that lately proved nothing come
-    /// last, the one first that has been avoided longest; and while one of the own zone is tried, the next is of another zone, as what silences
-    /// one machine often silences its zone.
+    /// last, the one first that may be tried again soonest. While one of the own zone is tried, the
+    /// next is of another zone, as what silences one machine often silences its zone.
     fn best_candidate<'known>(
         &self,
         now: Microseconds,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -75,69 +75,117 @@
 ///
 /// If the harness itself fails, or no configuration is ever taken.
 pub async fn run(config: RunConfig) -> Result<Outcome, Error> {
-    let program = process::program()?;
-    let site = Arc::new(site_of(&config));
-    // A disk of an earlier run would be taken for this one's.
-    if site.folder.exists() {
-        return Err(Error::FolderInUse(site.folder.clone()));
+    let mut run = Run::prepare(&config)?;
+    run.supervisor.start_all().await?;
+    run.tasks.spawn(run.supervisor.clone().watch());
+    run.send_first_configuration().await?;
+    run.start_clients(&config);
+    run.start_operators(&config);
+    run.start_faults(&config);
+    run.clock.sleep_until(config.duration).await;
+    Ok(run.finish(&config).await)
+}
+
+/// A run that is on.
+struct Run {
+    site: Arc<Site>,
+    clock: Clock,
+    history: Arc<History>,
+    supervisor: Arc<Supervisor>,
+    console: Console,
+    /// Draws the seeds of clients and operators.
+    rng: StdRng,
+    tasks: JoinSet<()>,
+}
+
+impl Run {
+    /// Backends run, and nothing else yet.
+    fn prepare(config: &RunConfig) -> Result<Run, Error> {
+        let program = process::program()?;
+        let site = Arc::new(site_of(config));
+        // A disk of an earlier run would be taken for this one's.
+        if site.folder.exists() {
+            return Err(Error::FolderInUse(site.folder.clone()));
+        }
+        fs::create_dir_all(&site.folder).map_err(Error::io("folder of the run"))?;
+        let clock = Clock::start();
+        let history = Arc::new(History::default());
+        let mut tasks = JoinSet::new();
+        let mut orders = BTreeMap::new();
+        for node in 0..site.nodes {
+            let (sender, receiver) = mpsc::channel(ORDER_QUEUE);
+            orders.insert(node, sender);
+            tasks.spawn(backend::run(site.clone(), node, clock, receiver));
+        }
+        let supervisor = Supervisor::new(site.clone(), clock, history.clone(), program, orders);
+        let supervisor = Arc::new(supervisor);
+        let console = Console {
+            site: site.clone(),
+            clock,
+            history: history.clone(),
+            cores: supervisor.callable_cores(),
+        };
+        Ok(Run {
+            site,
+            clock,
+            history,
+            supervisor,
+            console,
+            rng: StdRng::seed_from_u64(config.seed),
+            tasks,
+        })
     }
-    fs::create_dir_all(&site.folder).map_err(Error::io("folder of the run"))?;
-    let clock = Clock::start();
-    let history = Arc::new(History::default());
-    let mut rng = StdRng::seed_from_u64(config.seed);
-    let mut tasks = JoinSet::new();
-    let mut orders = BTreeMap::new();
-    for node in 0..site.nodes {
-        let (sender, receiver) = mpsc::channel(ORDER_QUEUE);
-        orders.insert(node, sender);
-        tasks.spawn(backend::run(site.clone(), node, clock, receiver));
+
+    async fn send_first_configuration(&self) -> Result<(), Error> {
+        let first = self.console.send_first_configuration();
+        let first = timeout(Duration::from_secs(FIRST_CONFIGURATION_TIMEOUT_S), first).await;
+        first.map_err(|_| Error::NoFirstConfiguration(FIRST_CONFIGURATION_TIMEOUT_S))
     }
-    let supervisor = Supervisor::new(site.clone(), clock, history.clone(), program, orders);
-    let supervisor = Arc::new(supervisor);
-    supervisor.start_all().await?;
-    tasks.spawn(supervisor.clone().watch());
-    let console = Console {
-        site: site.clone(),
-        clock,
-        history: history.clone(),
-        cores: supervisor.callable_cores(),
-    };
-    let first = console.send_first_configuration();
-    let first = timeout(Duration::from_secs(FIRST_CONFIGURATION_TIMEOUT_S), first).await;
-    first.map_err(|_| Error::NoFirstConfiguration(FIRST_CONFIGURATION_TIMEOUT_S))?;
-    for node in 0..site.nodes {
-        for number in 0..config.clients_per_node {
-            let client = Client {
-                site: site.clone(),
-                node,
-                number,
-                clock,
-                history: history.clone(),
-                rng: StdRng::seed_from_u64(rng.random()),
-                max_pause_ms: config.client_pause_ms,
-            };
-            tasks.spawn(client.run());
+
+    fn start_clients(&mut self, config: &RunConfig) {
+        for node in 0..self.site.nodes {
+            for number in 0..config.clients_per_node {
+                let client = Client {
+                    site: self.site.clone(),
+                    node,
+                    number,
+                    clock: self.clock,
+                    history: self.history.clone(),
+                    rng: StdRng::seed_from_u64(self.rng.random()),
+                    max_pause_ms: config.client_pause_ms,
+                };
+                self.tasks.spawn(client.run());
+            }
         }
     }
-    for number in 0..OPERATORS {
-        let operator = Operator::new(console.clone(), number, config.pace, rng.random());
-        tasks.spawn(operator.run());
+
+    fn start_operators(&mut self, config: &RunConfig) {
+        for number in 0..OPERATORS {
+            let seed = self.rng.random();
+            let operator = Operator::new(self.console.clone(), number, config.pace, seed);
+            self.tasks.spawn(operator.run());
+        }
+        let seed = self.rng.random();
+        self.tasks.spawn(self.console.clone().read_back(seed));
+    }
+
+    fn start_faults(&mut self, config: &RunConfig) {
+        let faults = plan::draw(config.seed, &self.site, config.profile, config.duration);
+        self.tasks.spawn(self.supervisor.clone().perform(faults));
+    }
+
+    async fn finish(mut self, config: &RunConfig) -> Outcome {
+        // With the tasks go the supervisor and all processes.
+        self.tasks.shutdown().await;
+        let mut records = self.history.lock().clone();
+        records.ended_at = config.duration;
+        let verdict = checker::check(&records, &self.site.bounds, self.site.cores);
+        Outcome {
+            verdict,
+            records,
+            site: Site::clone(&self.site),
+        }
     }
-    tasks.spawn(console.read_back(rng.random()));
-    let faults = plan::draw(config.seed, &site, config.profile, config.duration);
-    tasks.spawn(supervisor.perform(faults));
-    clock.sleep_until(config.duration).await;
-    // With the tasks go the supervisor and all processes.
-    tasks.shutdown().await;
-    let mut records = history.lock().clone();
-    records.ended_at = config.duration;
-    let verdict = checker::check(&records, &site.bounds, site.cores);
-    let site = Site::clone(&site);
-    Ok(Outcome {
-        verdict,
-        records,
-        site,
-    })
 }
 
 fn site_of(config: &RunConfig) -> Site {
