--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -73,6 +73,14 @@
 #[derive(Clone, Debug)]
 struct Change {
     routes: Vec<(String, RouteVersion)>,
+    /// Its place among the recorded calls, once it is recorded.
+    call: usize,
+}
+
+impl Change {
+    fn new(routes: Vec<(String, RouteVersion)>) -> Change {
+        Change { routes, call: 0 }
+    }
 }
 
 /// The answer that ended a call.
@@ -109,9 +117,9 @@
                 (format!("stable-{index}"), self.version(1, effect))
             })
             .collect();
-        let change = Change { routes };
+        let mut change = Change::new(routes);
         let mut items: Vec<Value> = services.chain([limits]).collect();
-        items.extend(self.record(&change, true));
+        items.extend(self.record(&mut change, true));
         let body = json!({ "upserts": { "resource_list": items } }).to_string();
         let answer = self.call(&body, change.routes.len(), 0).await;
         self.conclude(&change, answer);
@@ -151,9 +159,10 @@
     }
 
     /// Records the versions of a change as sent now, and returns those that are set as items.
-    fn record(&self, change: &Change, is_stable: bool) -> Vec<Value> {
+    fn record(&self, change: &mut Change, is_stable: bool) -> Vec<Value> {
         let mut records = self.history.lock();
         let mut items = Vec::new();
+        change.call = records.calls.len();
         if let Some((_, version)) = change.routes.first() {
             records.calls.push(CallRecord {
                 sent_at: version.sent_at,
@@ -218,10 +227,7 @@
         }
         let mut records = self.history.lock();
         if answer.status == OK {
-            let sent_at = change.routes.first().map(|(_, version)| version.sent_at);
-            let mut calls = records.calls.iter_mut();
-            let call = calls.rfind(|call| Some(call.sent_at) == sent_at);
-            if let Some(call) = call {
+            if let Some(call) = records.calls.get_mut(change.call) {
                 call.acknowledged_at.get_or_insert(answer.at);
             }
         } else {
@@ -318,7 +324,7 @@
                 (name, self.console.version(1, effect))
             })
             .collect();
-        self.send(calls, Change { routes });
+        self.send(calls, Change::new(routes));
     }
 
     fn change_routes(&mut self, calls: &mut JoinSet<Ended>) {
@@ -340,7 +346,7 @@
                 (name, self.console.version(version, effect))
             })
             .collect();
-        self.send(calls, Change { routes });
+        self.send(calls, Change::new(routes));
     }
 
     fn other_effect(&mut self, before: Effect) -> Effect {
@@ -351,7 +357,7 @@
         }
     }
 
-    fn send(&mut self, calls: &mut JoinSet<Ended>, change: Change) {
+    fn send(&mut self, calls: &mut JoinSet<Ended>, mut change: Change) {
         if change.routes.is_empty() {
             return;
         }
@@ -360,7 +366,7 @@
             self.routes.insert(name.clone(), *version);
         }
         let console = self.console.clone();
-        let items = console.record(&change, false);
+        let items = console.record(&mut change, false);
         let dropped: Vec<Value> = change
             .routes
             .iter()
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,7 +1,7 @@
 //! A process under test. Only this module starts and signals any, each by the id it was given.
 
 use std::env;
-use std::fs::OpenOptions;
+use std::fs::{self, OpenOptions};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -11,6 +11,8 @@
 
 const PROGRAM: &str = "gradeford-platform";
 const SETTINGS_VARIABLE: &str = "GRADEFORD_NODE_FILE";
+/// Before the mask of caught signals in the status of a process.
+const CAUGHT_SIGNALS: &str = "SigCgt:";
 
 /// A running process; it is killed when this is dropped.
 pub struct Process {
@@ -61,6 +63,17 @@
         }
     }
 
+    /// Whether it catches a signal, as the system shows it: before that one ends it at once.
+    pub fn catches(&self, signal: Signal) -> bool {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let mask = status
+            .lines()
+            .find_map(|line| line.strip_prefix(CAUGHT_SIGNALS));
+        let mask = mask.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & (1 << (signal.as_raw() - 1)) != 0)
+    }
+
     /// How it ended, if it did.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
--- a/crates/soak/src/supervisor.rs
+++ b/crates/soak/src/supervisor.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::os::unix::process::ExitStatusExt as _;
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::sync::Arc;
@@ -16,7 +15,7 @@
 
 use crate::Error;
 use crate::backend::BackendOrder;
-use crate::clock::{Clock, MILLISECOND, Micros};
+use crate::clock::{Clock, Micros};
 use crate::history::{EventKind, Finding, History};
 use crate::plan::{Fault, PlannedFault};
 use crate::process::Process;
@@ -30,33 +29,18 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Signals of a series come so far apart.
 const SERIES_PAUSE: Duration = Duration::from_millis(120);
-/// A process that was started so lately may end by the signal itself: it has no handler before the
-/// system has loaded it, which takes longer while many start at once.
-const LOADING_TIME: Micros = 100 * MILLISECOND;
 /// How many core machines a settings file names.
 const SEED_COUNT: usize = 3;
 
 /// A machine and the process on it, if one runs.
 struct MachineSlot {
     process: Option<Process>,
-    started_at: Micros,
-    /// When the process was sent its latest SIGTERM or SIGHUP.
-    signalled_at: Micros,
+    /// The process was sent a signal before it caught it: the system was still loading it.
+    signalled_while_loading: bool,
     /// Nothing runs here any more, or not yet.
     is_vacant: bool,
 }
 
-impl MachineSlot {
-    /// Whether the process ended by a signal that came while the system was loading it.
-    fn ended_while_loading(&self, status: ExitStatus) -> bool {
-        let by_default_action = [Signal::HUP.as_raw(), Signal::TERM.as_raw()];
-        status
-            .signal()
-            .is_some_and(|signal| by_default_action.contains(&signal))
-            && self.signalled_at < self.started_at + LOADING_TIME
-    }
-}
-
 /// Starts, signals and ends the processes of a run.
 pub struct Supervisor {
     site: Arc<Site>,
@@ -83,8 +67,7 @@
         let slots = machines.map(|machine| {
             let slot = MachineSlot {
                 process: None,
-                started_at: 0,
-                signalled_at: 0,
+                signalled_while_loading: false,
                 is_vacant: true,
             };
             (machine, Mutex::new(slot))
@@ -143,7 +126,7 @@
         };
         let log = self.site.log_path(machine);
         slot.process = Some(Process::start(&self.program, role, &path, &log)?);
-        slot.started_at = self.clock.now();
+        slot.signalled_while_loading = false;
         self.record(machine, EventKind::Started);
         Ok(())
     }
@@ -179,7 +162,7 @@
             return;
         }
         let mut records = self.history.lock();
-        if slot.ended_while_loading(status) {
+        if slot.signalled_while_loading {
             records.ended_while_loading += 1;
             return;
         }
@@ -267,8 +250,9 @@
     fn signal(&self, machine: Machine, slot: &mut MachineSlot, signal: Signal, kind: EventKind) {
         if let Some(process) = &slot.process {
             self.record(machine, kind);
+            let is_caught = [Signal::HUP, Signal::TERM].contains(&signal);
+            slot.signalled_while_loading |= is_caught && !process.catches(signal);
             process.signal(signal);
-            slot.signalled_at = self.clock.now();
         }
     }
 
