--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -23,6 +23,9 @@
     /// The folder of the run holds something already.
     #[error("{} exists already", .0.display())]
     FolderInUse(PathBuf),
+    /// A signal ended the run.
+    #[error("stopped by a signal")]
+    Stopped,
     /// A flag of the command line.
     #[error("flags: {0}")]
     Flags(String),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,6 +14,8 @@
 use soak::plan::Profile;
 use soak::run::{self, Outcome, RunConfig};
 use tokio::runtime::Runtime;
+use tokio::signal::ctrl_c;
+use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
 soak: gradeford-platform as real processes under drawn faults, and whether each confirmed change was in force in time
@@ -109,6 +111,16 @@
     }
 }
 
+/// A run that is ended by a signal ends the processes that it started.
+async fn run_unless_stopped(config: RunConfig) -> Result<Outcome, Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::io("signals"))?;
+    tokio::select! {
+        outcome = run::run(config) => outcome,
+        _ = terminate.recv() => Err(Error::Stopped),
+        _ = ctrl_c() => Err(Error::Stopped),
+    }
+}
+
 /// How many runs broke a rule.
 fn play(flags: Flags) -> Result<u64, Error> {
     let runtime = Runtime::new().map_err(Error::io("runtime"))?;
@@ -119,7 +131,7 @@
         config.folder = flags.config.folder.join(format!("seed-{}", config.seed));
         let folder = config.folder.clone();
         let seed = config.seed;
-        let outcome = runtime.block_on(run::run(config))?;
+        let outcome = runtime.block_on(run_unless_stopped(config))?;
         let is_broken = !outcome.verdict.violations.is_empty();
         report(seed, &outcome);
         if is_broken {
