--- a/crates/control/src/updates/upstreams.rs
+++ b/crates/control/src/updates/upstreams.rs
@@ -4,8 +4,8 @@
 //! A replica that works is left only for one that has proved what it sends. A replica can be silent
 //! without the connection saying so: its process is suspended, or its machine is gone. So while the
 //! one relied on owes a proof, further ones are tried beside it, each a short time after the one
-//! before and not after that one's time-out, and the first that proves is kept. How long a node is
-//! without updates then does not grow with the number of replicas that are silent.
+//! before and not after that one's time-out, and the first that proves is kept. Each silent replica
+//! that a node does not know of then costs it that short time, and not a time-out.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
