Review case 1: of two new core machines one never gets a place

Two core machines are replaced one after the other and both new ones are started first. Both are told of the first place that falls vacant; the one that does not get it has written the answer down and never asks again, so the second place stays empty. The loss of one disk later leaves no majority, and nothing that was acknowledged can be read back (LOST).

--- a/review/standin/src/backend.rs
+++ b/review/standin/src/backend.rs
@@ -28,12 +28,6 @@
     highest: BTreeMap<(u16, u16), u64>,
 }
 
-/// What one life of a backend ran, for the checks.
-#[derive(Clone, Debug)]
-pub struct Run {
-    pub attempt: String,
-}
-
 pub struct Life {
     pub id: String,
     pub service: String,
@@ -53,19 +47,12 @@
     last_beat: Mutex<Option<Instant>>,
     /// Work of a request in milliseconds.
     pub work: AtomicU64,
-    pub runs: Arc<Mutex<Vec<Run>>>,
     record: Arc<Record>,
 }
 
 impl Life {
     /// Starts a life of the backend on a machine.
-    pub fn start(
-        site: &Site,
-        node: usize,
-        id: &str,
-        sharded: bool,
-        runs: Arc<Mutex<Vec<Run>>>,
-    ) -> Arc<Life> {
+    pub fn start(site: &Site, node: usize, id: &str, sharded: bool) -> Arc<Life> {
         let machine = Machine::Node(node);
         let life = Arc::new(Life {
             id: id.to_string(),
@@ -83,7 +70,6 @@
             connections: Mutex::default(),
             last_beat: Mutex::default(),
             work: AtomicU64::new(20),
-            runs,
             record: site.record.clone(),
         });
         let listener = TcpListener::bind(life.address).expect("the backend's address");
@@ -357,10 +343,7 @@
             self.running.fetch_sub(1, Ordering::SeqCst);
             return (503, vec![id, not_run], Vec::new());
         }
-        let run = Run {
-            attempt: attempt.clone(),
-        };
-        self.runs.lock().unwrap().push(run);
+        self.record.line(format!("{} runs {attempt}", self.id));
         thread::sleep(Duration::from_millis(self.work.load(Ordering::SeqCst)));
         self.running.fetch_sub(1, Ordering::SeqCst);
         let seal = ("Gradeford-Server-Seal", format!("{}.{attempt}", self.id));
--- a/review/standin/src/case_late_beat.rs
+++ b/review/standin/src/case_late_beat.rs
@@ -1,7 +1,7 @@
 //! A beat of an earlier life of a backend comes some seconds late, after its node was restarted.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -40,11 +40,10 @@
         &["seatdesk", "seatdesk", "seatdesk"],
         record.clone(),
     );
-    let runs = Arc::new(Mutex::new(Vec::new()));
     site.start_all();
-    let mut first = Life::start(&site, 0, "i-0a000001", true, runs.clone());
-    let second = Life::start(&site, 1, "i-0b000001", true, runs.clone());
-    let third = Life::start(&site, 2, "i-0c000001", true, runs.clone());
+    let mut first = Life::start(&site, 0, "i-0a000001", true);
+    let second = Life::start(&site, 1, "i-0b000001", true);
+    let third = Life::start(&site, 2, "i-0c000001", true);
     let cores = [0, 1, 2, 3];
     let config = operator::call(&[
         operator::service("seatdesk", 1, true),
@@ -96,7 +95,7 @@
     ));
     first.crash();
     sleep(Duration::from_millis(500));
-    first = Life::start(&site, 0, "i-0a000002", true, runs.clone());
+    first = Life::start(&site, 0, "i-0a000002", true);
     sleep(Duration::from_millis(600));
     record.line("sidecar-0 is killed; it starts again after half a second");
     site.kill(Machine::Node(0));
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,7 +3,7 @@
 mod backend;
 mod case_lagging_core;
 mod case_late_beat;
-mod case_upload;
+mod case_two_spares;
 mod http;
 mod json;
 mod operator;
@@ -33,7 +33,7 @@
     let verdict = match case.as_str() {
         "late-beat" => case_late_beat::run(&record, trouble),
         "lagging-core" => case_lagging_core::run(&record, trouble),
-        "upload" => case_upload::run(&record, trouble),
+        "two-spares" => case_two_spares::run(&record, trouble),
         other => Verdict::CouldNotRun(format!("no case {other:?}")),
     };
     let code = match verdict {
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -7,6 +7,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGTERM: i32 = 15;
+
 pub const READY: u16 = 8141;
 pub const CONTROL: u16 = 8144;
 pub const APP: u16 = 8145;
@@ -83,6 +89,8 @@
     network: (u8, u8),
     pub record: Arc<Record>,
     processes: Mutex<Vec<(Machine, Child)>>,
+    /// The core machines on the operator's list.
+    pub listed: Mutex<Vec<usize>>,
 }
 
 impl Site {
@@ -117,6 +125,7 @@
             network,
             record,
             processes: Mutex::default(),
+            listed: Mutex::new((0..cores).collect()),
         }
     }
 
@@ -142,7 +151,10 @@
 
     fn write_settings(&self, machine: Machine, first_boot: bool) -> PathBuf {
         let at = |port| self.address(machine, port).to_string();
-        let seeds: Vec<String> = (0..self.cores.min(3))
+        let listed = self.listed.lock().unwrap().clone();
+        let seeds: Vec<String> = listed
+            .into_iter()
+            .take(3)
             .map(|core| format!("\"{}\"", self.address(Machine::Core(core), CONTROL)))
             .collect();
         let zones: Vec<String> = self
@@ -257,6 +269,28 @@
         }
     }
 
+    /// Lines of the process's log that hold one of these words.
+    pub fn log_lines(&self, machine: Machine, words: &[&str]) -> Vec<String> {
+        let log = self.folder.join(format!("{}.log", machine.name()));
+        let log = fs::read_to_string(log).unwrap_or_default();
+        let wanted = |line: &&str| words.iter().any(|word| line.contains(word));
+        log.lines().filter(wanted).map(str::to_string).collect()
+    }
+
+    /// Sends SIGTERM, and kills the process if it has not ended within `grace`.
+    pub fn stop(&self, machine: Machine, grace: Duration) {
+        if let Some(id) = self.id(machine) {
+            // The process is a child that was not waited for, so the number is still its own.
+            unsafe { kill(id as i32, SIGTERM) };
+        }
+        wait_for(grace, || {
+            let mut processes = self.processes.lock().unwrap();
+            let found = processes.iter_mut().find(|(own, _)| *own == machine);
+            found.is_none_or(|(_, child)| !matches!(child.try_wait(), Ok(None)))
+        });
+        self.kill(machine);
+    }
+
     /// Empties the disk of a machine whose process does not run.
     pub fn wipe(&self, machine: Machine) {
         let _ = fs::remove_dir_all(self.disk(machine));
@@ -273,15 +307,6 @@
         };
         Some((field("VmRSS:")?, field("VmHWM:")?))
     }
-
-    /// The most memory that the process has used so far, in bytes.
-    pub fn most_memory(&self, machine: Machine) -> Option<u64> {
-        let id = self.id(machine)?;
-        let text = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let line = text.lines().find(|line| line.starts_with("VmHWM:"))?;
-        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kilobytes * 1_024)
-    }
 }
 
 impl Drop for Site {
