--- a/review/standin/src/case_lagging_core.rs
+++ b/review/standin/src/case_lagging_core.rs
@@ -14,13 +14,14 @@
 /// The largest dose of `big_config` on the pages.
 const ROUTES: u32 = 1_480;
 const ROUTES_PER_HOST: u32 = 8;
+const PARTS: u32 = 10;
 /// As many orders as may be under way at once.
 const ORDERS: usize = 8;
 /// A day may hold hundreds of changes; more than these would take the core machines near their memory.
-const MOST_ORDERS: u32 = 125;
+const MOST_ORDERS: u32 = 95;
 const CORES: [usize; 3] = [0, 1, 2];
 /// How long the first core machine is down.
-const DOWN: Duration = Duration::from_millis(4_200);
+const DOWN: Duration = Duration::from_millis(5_000);
 /// `catch_up` is 4 s and `quiet` 3 s: the machine is back long before the next loss.
 const CALM: Duration = Duration::from_secs(12);
 
@@ -41,6 +42,13 @@
     format!("r-{}", word(u64::from(route)))
 }
 
+/// A path prefix of some parts.
+fn prefix(route: u32) -> String {
+    let parts =
+        (0..PARTS).map(|part| format!("/{}", word(2_000_000 + u64::from(part * 10_000 + route))));
+    parts.collect::<String>() + "/"
+}
+
 /// A change of the time-outs and weights of all routes, under the next version.
 fn order(version: u32) -> String {
     let mut items = vec![
@@ -52,13 +60,10 @@
         let drawn = u64::from(route) * 7_919 + u64::from(version) * 104_729;
         let (weight, timeout) = (1 + drawn % 98, 1_000 + drawn % 1_500);
         items.push(format!(
-            r#"{{"kind_tag":"route_list","metadata":{{"name":"{}","version":"{version:08x}"}},"definition":{{"host_name":"{}.example","path_prefix":"/{}/{}/{}/{}/","variant":"pure","timeout":"{timeout}ms","target":"{}ms","priority":{},"weighted_sum":[{{"service_ref":"catalogue","weight":{weight}}},{{"service_ref":"orders","weight":{}}}],"max_tries":2}}}}"#,
+            r#"{{"kind_tag":"route_list","metadata":{{"name":"{}","version":"{version:08x}"}},"definition":{{"host_name":"{}.example","path_prefix":"{}","variant":"pure","timeout":"{timeout}ms","target":"{}ms","priority":{},"weighted_sum":[{{"service_ref":"catalogue","weight":{weight}}},{{"service_ref":"orders","weight":{}}}],"max_tries":2}}}}"#,
             name(route),
             word(1_000_000 + u64::from(route / ROUTES_PER_HOST)),
-            word(2_000_000 + u64::from(route)),
-            word(3_000_000 + u64::from(route)),
-            word(4_000_000 + u64::from(route)),
-            word(5_000_000 + u64::from(route)),
+            prefix(route),
             300 + drawn % 600,
             drawn % 4,
             99 - weight,
