Review case 4: a replacement while another core machine is down stops the core for good

An empty machine is given the slot of a member that is only down, the replacement is chosen when that member is back, and the blocks in which the lost machine is revoked end above the instance up to which the member may vote. The log never goes on.

--- a/review/standin-2/src/backend.rs
+++ b/review/standin-2/src/backend.rs
@@ -195,6 +195,9 @@
 
     /// Holds what the answer gives and lets go of the rest. Returns the time until the next beat.
     fn take_answer(&self, sent: Instant, text: &str, reported: usize) -> Duration {
+        if !self.is_up() {
+            return self.plan.beat;
+        }
         let mut keys = self.keys.lock().unwrap();
         keys.released.drain(..reported);
         let Some(answer) = json::read(text) else {
--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
 use std::thread::{self, JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
@@ -162,11 +162,16 @@
     record.line("backend i-machine0-life2 sends its first beat");
     let beat_sent = Instant::now();
     let control = site.control(0);
-    if !trouble {
-        http::call_once(control, &beat, Duration::from_secs(1));
-    }
+    let (beat_to, pass_on) = if trouble {
+        hold_back(site.proxy(2), control)
+    } else {
+        (control, None)
+    };
+    let waited = thread::spawn(move || http::call_once(beat_to, &beat, milliseconds(850)));
     sleep(milliseconds(900));
     second_life.crash();
+    let answer = waited.join().map(|outcome| outcome.text());
+    record.line(format!("the first beat of i-machine0-life2: {answer:?}"));
     sleep(milliseconds(600));
     let third_life = start(0, "i-machine0-life3", true);
     let until = Instant::now() + Duration::from_secs(12);
@@ -182,7 +187,7 @@
     }
     if trouble {
         // The beat of the second life arrives some seconds late, between two beats of the third life.
-        while beat_sent.elapsed() < milliseconds(5_500) {
+        while beat_sent.elapsed() < milliseconds(7_000) {
             sleep(milliseconds(5));
         }
         loop {
@@ -196,7 +201,9 @@
             "the first beat of i-machine0-life2 arrives, {} ms late",
             beat_sent.elapsed().as_millis()
         ));
-        thread::spawn(move || http::call_once(control, &beat, Duration::from_secs(1)));
+        if let Some(pass_on) = pass_on {
+            let _ = pass_on.send(());
+        }
     }
     sleep(milliseconds(14_000));
     record.line(format!(
@@ -215,6 +222,24 @@
     }
 }
 
+/// A proxy before a node's `control_addr`: it reads a beat and passes it on only when it is told to.
+fn hold_back(at: SocketAddr, to: SocketAddr) -> (SocketAddr, Option<mpsc::Sender<()>>) {
+    let listener = TcpListener::bind(at).expect("an address for the proxy");
+    let (pass_on, told) = mpsc::channel();
+    thread::spawn(move || {
+        let Ok((mut from, _)) = listener.accept() else {
+            return;
+        };
+        let mut bytes = Vec::new();
+        // The sender closes its connection when it crashes.
+        drop(from.read_to_end(&mut bytes));
+        if told.recv().is_ok() {
+            http::call_once(to, &bytes, Duration::from_secs(1));
+        }
+    });
+    (at, Some(pass_on))
+}
+
 /// Clients of all nodes, which ask for keys at random; some keys are far busier than others.
 struct Traffic {
     stopped: Arc<AtomicBool>,
@@ -920,3 +945,152 @@
         Verdict::Held
     }
 }
+
+// ---------------------------------------------------------------------------------------------------------------------
+
+/// Fault: one core machine is killed within the first second of the system and comes back; nothing is ever served.
+pub fn founder(record: Record, folder: &Path, trouble: bool) -> Verdict {
+    const WATCHED: Duration = Duration::from_secs(90);
+    let mut site = Site::new(
+        record.clone(),
+        folder,
+        &["seatdesk", "entitlements"],
+        SWANREACH,
+    );
+    site.start_all();
+    record.line("all machines start for the first time");
+    Backend::start(plan(&site, 0, "i-seatdesk"), &record, true);
+    Backend::start(plan(&site, 1, "i-entitlements"), &record, true);
+    let items = [
+        site::service("seatdesk", 1, false),
+        site::service("entitlements", 1, false),
+        site::route("r-own", 1, HOST, "/own/", true, 1_500, 400, "seatdesk", 1),
+        site::limits(1, 16_384),
+    ];
+    sleep(milliseconds(600));
+    if !site.core_runs(0) {
+        return Verdict::CouldNotRun;
+    }
+    if trouble {
+        site.kill_core(0);
+        record.line("the process of core-0 is killed; its disk stays");
+        sleep(milliseconds(500));
+        site.start_core_again(0);
+        record.line("the process of core-0 starts again, with first_boot false");
+    }
+    let began = Instant::now();
+    let acknowledged =
+        site.order_within("the first configuration", &site::upserts(&items), WATCHED);
+    let mut served = 0;
+    let mut asked = 0;
+    while began.elapsed() < WATCHED && served < 10 {
+        asked += 1;
+        let bytes = request(&format!("own-{asked}"), "POST", "/own/a", 1_500, b"");
+        let outcome = http::call_once(site.outbound(0), &bytes, milliseconds(1_700));
+        served += i32::from(outcome.status() == 200);
+        record.line(format!("request own-{asked}: {}", outcome.text()));
+        sleep(milliseconds(300));
+    }
+    if asked == 0 {
+        let bytes = request("own-last", "POST", "/own/a", 1_500, b"");
+        let outcome = http::call_once(site.outbound(0), &bytes, milliseconds(1_700));
+        served += i32::from(outcome.status() == 200);
+        record.line(format!("request own-last: {}", outcome.text()));
+    }
+    let running = (0..3).filter(|core| site.core_runs(*core)).count();
+    record.line(format!(
+        "{:.0} s after core-0 was back: {running} of 3 core machines run, the first configuration is acknowledged: {acknowledged}, {served} requests were served",
+        began.elapsed().as_secs_f64()
+    ));
+    if served == 0 && !acknowledged {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+
+/// CONFIG: a machine of the core is replaced while another one is down for seconds; the core never works again.
+pub fn replaced(record: Record, folder: &Path, trouble: bool) -> Verdict {
+    // The site runs the role `core` on four machines: one in each zone.
+    let mut site = Site::new(
+        record.clone(),
+        folder,
+        &["seatdesk", "entitlements"],
+        SWANREACH,
+    );
+    site.set_cores(4);
+    site.start_all();
+    Backend::start(plan(&site, 0, "i-seatdesk"), &record, true);
+    Backend::start(plan(&site, 1, "i-entitlements"), &record, true);
+    let own_route = |version: u32| {
+        let timeout = 1_500 + version;
+        site::route(
+            "r-own", version, HOST, "/own/", true, timeout, 400, "seatdesk", 1,
+        )
+    };
+    let items = [
+        site::service("seatdesk", 1, false),
+        site::service("entitlements", 1, false),
+        own_route(1),
+        site::limits(1, 16_384),
+    ];
+    if !site.order("the first configuration", &site::upserts(&items)) || !site.wait_ready() {
+        return Verdict::CouldNotRun;
+    }
+    if !site.order("version 2 of the route", &site::upserts(&[own_route(2)])) {
+        return Verdict::CouldNotRun;
+    }
+    sleep(milliseconds(5_000));
+    // Machine 3 is removed for good, and an empty one comes 2 s later. Machine 1 is down for 3.5 s meanwhile.
+    if trouble {
+        site.kill_core(1);
+        record.line("the process of core-1 is killed; its disk stays");
+    }
+    sleep(milliseconds(200));
+    site.kill_core(3);
+    record.line("core-3 is removed for good");
+    sleep(milliseconds(2_000));
+    let added = site.add_core(3);
+    record.line(format!(
+        "core-{added} starts at another address, with an empty disk"
+    ));
+    sleep(milliseconds(1_300));
+    if trouble {
+        site.start_core_again(1);
+        record.line("the process of core-1 starts again, with its disk");
+    }
+    // More than `recover`, which is 15 s, passes with all three machines up.
+    for _ in 0..60 {
+        sleep(milliseconds(333));
+        for core in [0, 1, 2, added] {
+            if !site.core_runs(core) && (trouble || core != 1) {
+                record.line(format!(
+                    "the process of core-{core} ended by itself; the platform starts it again"
+                ));
+                site.start_core_again(core);
+            }
+        }
+    }
+    let read = site.read_back(Duration::from_secs(20));
+    let stands = read.is_some_and(|text| text.contains("\"version\":\"00000002\""));
+    let limit = Duration::from_secs(20);
+    let acknowledged = site.order_within(
+        "version 3 of the route",
+        &site::upserts(&[own_route(3)]),
+        limit,
+    );
+    let running = [0, 1, 2, added]
+        .into_iter()
+        .filter(|core| site.core_runs(*core))
+        .count();
+    record.line(format!(
+        "{running} of 4 core machines run; the read returns version 2, which was acknowledged: {stands}; version 3 is acknowledged: {acknowledged}"
+    ));
+    if stands {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -43,6 +43,8 @@
         "term-large" => cases::term_large(own, &folder, trouble),
         "term-upload" => cases::term_upload(own, &folder, trouble),
         "limits" => cases::limits(own, &folder, trouble),
+        "founder" => cases::founder(own, &folder, trouble),
+        "replaced" => cases::replaced(own, &folder, trouble),
         "memory" => cases::memory(own, &folder, trouble),
         _ => Verdict::CouldNotRun,
     });
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -157,14 +157,22 @@
     folder: PathBuf,
     network: u8,
     cores: usize,
+    /// The core machines on the operator's list.
+    pub listed: Vec<usize>,
     /// The service beside each node.
     pub services: Vec<&'static str>,
     figures: Figures,
-    core_processes: Vec<Process>,
+    core_processes: Vec<Option<Process>>,
     pub nodes: Vec<Option<Process>>,
 }
 
 impl Site {
+    /// Sets the number of core machines, before the start.
+    pub fn set_cores(&mut self, cores: usize) {
+        self.cores = cores;
+        self.listed = (0..cores).collect();
+    }
+
     /// Chooses free addresses; nothing is started yet.
     pub fn new(record: Record, folder: &Path, services: &[&'static str], figures: Figures) -> Site {
         let first = (std::process::id() % 100) as u8;
@@ -179,6 +187,7 @@
             folder: folder.to_path_buf(),
             network: network.unwrap_or(100),
             cores: 3,
+            listed: vec![0, 1, 2],
             services: services.to_vec(),
             figures,
             core_processes: Vec::new(),
@@ -241,7 +250,11 @@
         rest: &str,
         first_boot: bool,
     ) -> String {
-        let seeds = Site::quoted((0..self.cores).map(|core| self.core_control(core).to_string()));
+        let seeds = Site::quoted(
+            self.listed
+                .iter()
+                .map(|core| self.core_control(*core).to_string()),
+        );
         let bounds = Site::quoted(self.figures.bounds.iter().map(|text| text.to_string()));
         format!(
             "{{\"node_name\":\"{name}\",\"ip\":\"{ip}\",\"zone\":\"{zone}\",\"region\":\"perth\",\
@@ -275,21 +288,85 @@
         Process(child)
     }
 
+    fn start_core(&self, core: usize, first_boot: bool) -> Process {
+        let name = format!("core-{core}");
+        let disk = self.folder.join(format!("{name}.disk"));
+        fs::create_dir_all(&disk).expect("a disk folder");
+        let control = self.core_control(core);
+        let rest = format!(
+            "\"role\":\"core\",\"machine_class\":\"core\",\"serves\":[\"control_plane\"],\
+             \"counted\":true,\"data_dir\":\"{}\",\"bind_map\":{{\"control_addr\":\"{control}\"}}",
+            disk.display()
+        );
+        let settings = self.settings(
+            &name,
+            self.core_ip(core),
+            self.zone(core),
+            &rest,
+            first_boot,
+        );
+        self.start("core", &name, &settings)
+    }
+
+    /// Kills the process of a core machine; its disk stays.
+    pub fn kill_core(&mut self, core: usize) {
+        self.core_processes[core] = None;
+    }
+
+    /// Adds an empty core machine at an address of its own. The operator's list has it in place of `replaced`.
+    pub fn add_core(&mut self, replaced: usize) -> usize {
+        let core = self.core_processes.len();
+        for listed in &mut self.listed {
+            if *listed == replaced {
+                *listed = core;
+            }
+        }
+        let process = self.start_core(core, false);
+        self.core_processes.push(Some(process));
+        core
+    }
+
+    /// Asks the listed core machines for the configuration, again and again until one answers or `limit` has passed.
+    pub fn read_back(&self, limit: Duration) -> Option<String> {
+        let request = http::request("GET", "/Config.Read", &[("Host", "control")], b"");
+        let until = Instant::now() + limit;
+        let mut asked = 0;
+        while Instant::now() < until {
+            let core = self.listed[asked % self.listed.len()];
+            asked += 1;
+            let outcome =
+                http::call_once(self.core_control(core), &request, Duration::from_secs(1));
+            if let http::Outcome::Answer(head, body) = outcome
+                && head.status() == 200
+            {
+                return Some(String::from_utf8_lossy(&body).into_owned());
+            }
+            sleep(Duration::from_millis(200));
+        }
+        self.record.line(format!(
+            "operator: {asked} reads of the configuration were answered with no 200"
+        ));
+        None
+    }
+
+    /// Starts the process of a core machine again, with the settings of a later start.
+    pub fn start_core_again(&mut self, core: usize) {
+        let process = self.start_core(core, false);
+        self.core_processes[core] = Some(process);
+    }
+
+    /// Returns whether the process of a core machine runs.
+    pub fn core_runs(&mut self, core: usize) -> bool {
+        self.core_processes[core]
+            .as_mut()
+            .is_some_and(|process| !process.has_ended())
+    }
+
     /// Starts all machines.
     pub fn start_all(&mut self) {
         for core in 0..self.cores {
-            let name = format!("core-{core}");
-            let disk = self.folder.join(format!("{name}.disk"));
-            fs::create_dir_all(&disk).expect("a disk folder");
-            let control = self.core_control(core);
-            let rest = format!(
-                "\"role\":\"core\",\"machine_class\":\"core\",\"serves\":[\"control_plane\"],\
-                 \"counted\":true,\"data_dir\":\"{}\",\"bind_map\":{{\"control_addr\":\"{control}\"}}",
-                disk.display()
-            );
-            let settings = self.settings(&name, self.core_ip(core), self.zone(core), &rest, true);
-            let process = self.start("core", &name, &settings);
-            self.core_processes.push(process);
+            let process = self.start_core(core, true);
+            self.core_processes.push(Some(process));
         }
         for node in 0..self.services.len() {
             let process = self.start_node(node, true);
@@ -323,10 +400,18 @@
 
     /// Sends an order until it is acknowledged; returns false if it was refused or took too long.
     pub fn order(&self, what: &str, body: &str) -> bool {
+        self.order_within(what, body, Duration::from_secs(60))
+    }
+
+    /// Sends an order until it is acknowledged, was refused, or `limit` has passed.
+    pub fn order_within(&self, what: &str, body: &str, limit: Duration) -> bool {
         let headers = [("Host", "control"), ("Content-Type", "application/json")];
         let request = http::request("POST", "/Config.Amend", &headers, body.as_bytes());
-        for turn in 0..100 {
-            let core = turn % self.cores;
+        let until = Instant::now() + limit;
+        let mut turn = 0;
+        while Instant::now() < until {
+            turn += 1;
+            let core = self.listed[turn % self.listed.len()];
             let outcome =
                 http::call_once(self.core_control(core), &request, Duration::from_secs(1));
             match outcome.status() {
