--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,4 +10,4 @@
 fi
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
-TROUBLE="${TROUBLE:-1}" "$program" term-queue "$folder" "$here/record.txt"
+TROUBLE="${TROUBLE:-1}" "$program" term-upload "$folder" "$here/record.txt"
