Review case 5: the machine that founds the core is lost for good and replaced

The first form killed it and started it again with first_boot false, which can be read in two ways; the loss with a replacement can't.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -948,7 +948,7 @@
 
 // ---------------------------------------------------------------------------------------------------------------------
 
-/// Fault: one core machine is killed within the first second of the system and comes back; nothing is ever served.
+/// Fault: one core machine is lost for good within the first second and replaced; nothing is ever served.
 pub fn founder(record: Record, folder: &Path, trouble: bool) -> Verdict {
     const WATCHED: Duration = Duration::from_secs(90);
     let mut site = Site::new(
@@ -973,10 +973,12 @@
     }
     if trouble {
         site.kill_core(0);
-        record.line("the process of core-0 is killed; its disk stays");
-        sleep(milliseconds(500));
-        site.start_core_again(0);
-        record.line("the process of core-0 starts again, with first_boot false");
+        record.line("core-0 is removed for good");
+        sleep(milliseconds(2_000));
+        let added = site.add_core(0);
+        record.line(format!(
+            "core-{added} starts at another address, with an empty disk"
+        ));
     }
     let began = Instant::now();
     let acknowledged =
@@ -997,9 +999,13 @@
         served += i32::from(outcome.status() == 200);
         record.line(format!("request own-last: {}", outcome.text()));
     }
-    let running = (0..3).filter(|core| site.core_runs(*core)).count();
+    let listed = site.listed.clone();
+    let running = listed
+        .into_iter()
+        .filter(|core| site.core_runs(*core))
+        .count();
     record.line(format!(
-        "{:.0} s after core-0 was back: {running} of 3 core machines run, the first configuration is acknowledged: {acknowledged}, {served} requests were served",
+        "{:.0} s after all machines were there: {running} of 3 core machines run, the first configuration is acknowledged: {acknowledged}, {served} requests were served",
         began.elapsed().as_secs_f64()
     ));
     if served == 0 && !acknowledged {
