--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -336,6 +336,10 @@
             asked += 1;
             let outcome =
                 http::call_once(self.core_control(core), &request, Duration::from_secs(1));
+            self.record.line(format!(
+                "operator: a read at core-{core}: {}",
+                outcome.text()
+            ));
             if let http::Outcome::Answer(head, body) = outcome
                 && head.status() == 200
             {
@@ -425,7 +429,13 @@
                         .line(format!("operator: {what} is refused: {}", outcome.text()));
                     return false;
                 }
-                _ => sleep(Duration::from_millis(200)),
+                _ => {
+                    self.record.line(format!(
+                        "operator: {what} is sent to core-{core}: {}",
+                        outcome.text()
+                    ));
+                    sleep(Duration::from_millis(200));
+                }
             }
         }
         self.record
