Review: the stand-ins keep their addresses, so that scripts can run at once

In a fresh clone, with all scripts at once, case 5 held and the control of case 6 could not run, as both had the same loopback addresses.

--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -156,6 +156,8 @@
     pub record: Record,
     folder: PathBuf,
     network: u8,
+    /// Reserves the addresses of this site.
+    _held: TcpListener,
     cores: usize,
     /// The core machines on the operator's list.
     pub listed: Vec<usize>,
@@ -176,16 +178,19 @@
     /// Chooses free addresses; nothing is started yet.
     pub fn new(record: Record, folder: &Path, services: &[&'static str], figures: Figures) -> Site {
         let first = (std::process::id() % 100) as u8;
-        let network = (0..100)
-            .map(|step| 100 + (first + step) % 100)
-            .find(|network| {
-                let address = SocketAddr::from((Ipv4Addr::new(127, *network, 1, 1), CONTROL_PORT));
-                TcpListener::bind(address).is_ok()
-            });
+        // The listener is held to the end, so that no other case takes the same addresses meanwhile.
+        let reserved = (0..100).find_map(|step| {
+            let network = 100 + (first + step) % 100;
+            let address = SocketAddr::from((Ipv4Addr::new(127, network, 4, 1), CONTROL_PORT));
+            let held = TcpListener::bind(address).ok()?;
+            Some((network, held))
+        });
+        let (network, held) = reserved.expect("free addresses");
         Site {
             record,
             folder: folder.to_path_buf(),
-            network: network.unwrap_or(100),
+            network,
+            _held: held,
             cores: 3,
             listed: vec![0, 1, 2],
             services: services.to_vec(),
